--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,216 @@
+// Package agent runs one entry on the users' platform: it answers callers,
+// follows the configuration, takes part in elections and runs the owners of the
+// pools that it was elected for.
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/quartz"
+	"github.com/phuslu/log"
+	metrics "github.com/rcrowley/go-metrics"
+
+	"shallotpaddle/elect"
+	"shallotpaddle/owner"
+	"shallotpaddle/platform"
+	"shallotpaddle/policy"
+)
+
+const (
+	// leaseTTL is the length of the entry's lease: pools of a lost entry are
+	// vacant for that long.
+	leaseTTL = 1500 * time.Millisecond
+	// notice is how long a stopping entry still takes requests, until the
+	// balancer has missed two probes of a second each.
+	notice = 2500 * time.Millisecond
+	// stopMargin is left of the grace period after the last request.
+	stopMargin = 500 * time.Millisecond
+	// callerWait is how long a request may take that names no time.
+	callerWait = 3 * time.Second
+	// readHeader and idle bound a caller's connection.
+	readHeader = 3 * time.Second
+	readBody   = 5 * time.Second
+	idle       = 30 * time.Second
+)
+
+// Agent is one entry process.
+type Agent struct {
+	set   *platform.Settings
+	clock quartz.Clock
+	log   *log.Logger
+	reg   metrics.Registry
+
+	store   *platform.Store
+	workers *platform.Workers
+	fleet   *platform.Fleet
+	stats   *owner.Stats
+	desk    *desk
+	elector *elect.Elector
+
+	version  atomic.Pointer[policy.Version]
+	stopping atomic.Bool
+
+	mu     sync.Mutex
+	owners map[string]*running // by pool
+	wake   chan struct{}       // an owner was added
+}
+
+// running is an owner that this entry runs.
+type running struct {
+	owner *owner.Owner
+	fence int64
+	stop  context.CancelFunc
+}
+
+// New returns an agent that does nothing yet.
+func New(set *platform.Settings, clock quartz.Clock, logger *log.Logger) *Agent {
+	a := &Agent{
+		set: set, clock: clock, log: logger, reg: metrics.NewRegistry(),
+		store: platform.NewStore(set.Store), workers: platform.NewWorkers(), fleet: platform.NewFleet(set.Fleet),
+		owners: map[string]*running{}, wake: make(chan struct{}, 1),
+	}
+	a.stats = owner.NewStats(a.reg)
+	a.desk = newDesk(a)
+	return a
+}
+
+// Run serves until stop ends, then stops within the platform's grace period.
+func (a *Agent) Run(stop context.Context) error {
+	callers, err := net.Listen("tcp", a.set.Callers)
+	if err != nil {
+		return fmt.Errorf("callers' address: %w", err)
+	}
+	ready, err := net.Listen("tcp", a.set.Ready)
+	if err != nil {
+		return errors.Join(fmt.Errorf("readiness address: %w", err), callers.Close())
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	desk := a.desk.desk()
+	front := &http.Server{Handler: desk.Callers(), ReadHeaderTimeout: readHeader, ReadTimeout: readBody, IdleTimeout: idle}
+	probes := &http.Server{Handler: a.probes(desk), ReadHeaderTimeout: readHeader, IdleTimeout: idle}
+	a.elector = a.newElector(ctx)
+	go a.elector.Run(ctx)
+	go a.followPolicy(ctx)
+	go a.followWorkers(ctx)
+	go a.serve(front, callers)
+	go a.serve(probes, ready)
+	a.log.Info().Str("entry", a.set.Name).Str("callers", a.set.Callers).Float64("cores", a.set.Cores).
+		Int64("memory", a.set.Memory).Msg("started")
+	<-stop.Done()
+	a.drain(front)
+	cancel()
+	return errors.Join(front.Close(), probes.Close())
+}
+
+func (a *Agent) serve(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		a.log.Error().Err(err).Msg("listener failed")
+	}
+}
+
+// drain gives up the pools, lets the balancer notice, and finishes requests.
+func (a *Agent) drain(front *http.Server) {
+	a.stopping.Store(true)
+	a.log.Info().Str("entry", a.set.Name).Msg("stopping")
+	ctx, cancel := context.WithTimeout(context.Background(), a.set.Bounds.Grace-stopMargin)
+	defer cancel()
+	a.elector.Resign(ctx)
+	front.SetKeepAlivesEnabled(false)
+	a.pause(ctx, notice)
+	if err := front.Shutdown(ctx); err != nil {
+		a.log.Warn().Str("entry", a.set.Name).Err(err).Msg("stopped with requests in flight")
+		return
+	}
+	a.log.Info().Str("entry", a.set.Name).Msg("stopped")
+}
+
+func (a *Agent) pause(ctx context.Context, d time.Duration) {
+	t := a.clock.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// probes answers the platform's probes and serves metrics.
+func (a *Agent) probes(d *platform.Desk) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", d.Readiness())
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WriteOnce(a.reg, w) })
+	return mux
+}
+
+// ready tells whether callers may be sent here.
+func (a *Agent) ready() bool { return !a.stopping.Load() && a.version.Load() != nil }
+
+func (a *Agent) newElector(ctx context.Context) *elect.Elector {
+	return elect.New(elect.Params{
+		Name: a.set.Name, Clock: a.clock, Log: a.log, TTL: max(leaseTTL, a.set.Bounds.LeaseMin),
+		Store: elect.Store{
+			List: a.store.List, Watch: a.store.Watch, Commit: a.store.Commit, Get: a.store.Get,
+			Grant: a.store.Grant, Renew: a.store.Renew, Revoke: a.store.Revoke,
+		},
+		Won:  func(t elect.Term) { a.startOwner(ctx, t) },
+		Lost: func(t elect.Term, _ string) { a.stopOwner(t) },
+	})
+}
+
+func (a *Agent) startOwner(ctx context.Context, t elect.Term) {
+	run, stop := context.WithCancel(ctx)
+	o := owner.New(owner.Params{
+		Pool: t.Pool, Lead: elect.LeadKey(t.Pool), Fence: t.Fence, Term: t.Number,
+		Bounds: owner.Bounds{HoldMax: a.set.Bounds.HoldMax, Drain: a.set.Bounds.Drain, Keep: a.set.Bounds.Status},
+		Store:  owner.Store{List: a.store.List, Watch: a.store.Watch, Commit: a.store.Commit},
+		Workers: owner.Workers{
+			Start: a.workers.Start, Stop: a.workers.Stop, Pace: a.workers.Pace, Renew: a.workers.Renew,
+		},
+		Clock: a.clock, Log: a.log, Stats: a.stats,
+	})
+	if v := a.version.Load(); v != nil {
+		o.SetPolicy(v)
+	}
+	a.mu.Lock()
+	a.owners[t.Pool] = &running{o, t.Fence, stop}
+	a.mu.Unlock()
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+	go func() {
+		defer stop()
+		if err := o.Run(run); errors.Is(err, owner.ErrDeposed) {
+			a.elector.GiveUp(t.Pool)
+		}
+	}()
+}
+
+func (a *Agent) stopOwner(t elect.Term) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if r := a.owners[t.Pool]; r != nil && r.fence == t.Fence {
+		r.stop()
+		delete(a.owners, t.Pool)
+	}
+}
+
+// each calls f for every owner that runs here.
+func (a *Agent) each(f func(pool string, o *owner.Owner)) {
+	a.mu.Lock()
+	list := make(map[string]*owner.Owner, len(a.owners))
+	for pool, r := range a.owners {
+		list[pool] = r.owner
+	}
+	a.mu.Unlock()
+	for pool, o := range list {
+		f(pool, o)
+	}
+}
--- a/cmds/cmds.go
+++ b/cmds/cmds.go
@@ -103,7 +103,7 @@
 
 func (e *env) commands() []subcommands.Command {
 	return []subcommands.Command{
-		newServe(e), newDemo(e), newNote(e), newFleet(e), newDrain(e), newExplain(e), newBurn(e),
+		newServe(e), newNode(e), newDemo(e), newNote(e), newFleet(e), newDrain(e), newExplain(e), newBurn(e),
 		newConfig(e), newVersion(e),
 	}
 }
--- /dev/null
+++ b/owner/jobs.go
@@ -0,0 +1,302 @@
+package owner
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"shallotpaddle/plat"
+	"shallotpaddle/runs"
+	"shallotpaddle/steps"
+)
+
+// job is one accepted job of the pool.
+type job struct {
+	doc
+	track *steps.Track
+	// fresh tells that the job was accepted after the election, so that no
+	// earlier owner can have started any of it.
+	fresh bool
+	// active is the number of subtasks that hold room on a worker.
+	active int
+	ended  time.Time // when it was known to have ended
+}
+
+func (j *job) id() string { return j.track.Job.ID }
+
+// restore reads the state of the pool, and returns the revision from which to
+// watch its jobs. It tries until the context ends.
+func (o *Owner) restore(ctx context.Context) (int64, error) {
+	for {
+		rev, err := o.read(ctx)
+		if err == nil {
+			o.Log.Info().Str("pool", o.Pool).Int64("fence", o.Fence).Int("term", o.Term).
+				Int("jobs", len(o.open)).Int("hosts", len(o.hosts)).Dur("took", o.Clock.Since(o.began)).Msg("pool taken over")
+			return rev, nil
+		}
+		o.Log.Warn().Str("pool", o.Pool).Err(err).Msg("state not readable")
+		o.pause(ctx, recoverRetry)
+		if ctx.Err() != nil {
+			return 0, ctx.Err()
+		}
+	}
+}
+
+func (o *Owner) read(ctx context.Context) (int64, error) {
+	items, rev, err := o.Store.List(ctx, JobPrefix(o.Pool))
+	if err != nil {
+		return 0, err
+	}
+	states, _, err := o.Store.List(ctx, statePrefix(o.Pool))
+	if err != nil {
+		return 0, err
+	}
+	if err := o.readRoster(ctx); err != nil {
+		return 0, err
+	}
+	byKey := make(map[string]plat.Item, len(states))
+	for _, it := range states {
+		byKey[it.Key] = it
+	}
+	for _, it := range items {
+		o.takeItem(it, false)
+	}
+	for _, j := range o.jobs {
+		o.restoreJob(j, byKey[j.key])
+	}
+	for id := range o.cancels {
+		o.cancel(id)
+	}
+	return rev, nil
+}
+
+// runsPerTerm is above the number of runs that one owner can have given a
+// subtask, so that a later owner's numbers are above all of an earlier one's.
+const runsPerTerm = 1000
+
+// restoreJob takes in the recorded progress of a job. Its subtasks are held
+// back: an earlier owner's runs may be at work on any worker.
+func (o *Owner) restoreJob(j *job, state plat.Item) {
+	if state.Key != "" {
+		j.rev = state.Rev
+		var r steps.Record
+		if err := json.Unmarshal(state.Value, &r); err != nil {
+			o.Log.Error().Str("job", j.id()).Err(err).Msg("progress not readable")
+		} else {
+			j.track.Restore(r)
+		}
+	}
+	if j.track.Final != steps.Open {
+		o.close(j)
+	}
+}
+
+// takeItem takes in a job or a cancellation that an entry has written.
+func (o *Owner) takeItem(it plat.Item, watched bool) {
+	id, cancel := splitKey(o.Pool, it.Key)
+	if it.Gone {
+		return // only owners remove jobs
+	}
+	if cancel {
+		o.cancels[id] = struct{}{}
+		if watched {
+			o.cancel(id)
+		}
+		return
+	}
+	if o.jobs[id] != nil {
+		return
+	}
+	var doc steps.Job
+	if err := json.Unmarshal(it.Value, &doc); err != nil {
+		o.Log.Error().Str("job", id).Err(err).Msg("job not readable")
+		return
+	}
+	o.add(&doc, it.Rev > o.Fence)
+	if _, early := o.cancels[id]; early && watched {
+		o.cancel(id)
+	}
+}
+
+func (o *Owner) add(doc *steps.Job, fresh bool) {
+	j := &job{track: steps.NewTrack(doc), fresh: fresh}
+	j.key = StateKey(o.Pool, doc.ID)
+	j.encode = func() []byte {
+		b, err := json.Marshal(j.track.Record())
+		if err != nil {
+			o.Log.Error().Str("job", doc.ID).Err(err).Msg("progress not encodable")
+		}
+		return b
+	}
+	o.jobs[doc.ID] = j
+	at, _ := slices.BinarySearchFunc(o.open, j, compareJobs)
+	o.open = slices.Insert(o.open, at, j)
+	o.Stats.Jobs.Inc(1)
+	o.dirty = true
+	o.Log.Info().Str("job", doc.ID).Str("pool", o.Pool).Str("queue", doc.Queue).Int("steps", len(doc.Steps)).
+		Bool("fresh", fresh).Int64("ageMs", o.Clock.Now().UnixMilli()-doc.Accepted).Msg("job known")
+}
+
+// compareJobs orders jobs by rank, then by acceptance.
+func compareJobs(a, b *job) int {
+	x, y := a.track.Job, b.track.Job
+	switch {
+	case x.Rank != y.Rank:
+		return x.Rank - y.Rank
+	case x.Accepted != y.Accepted:
+		return int(x.Accepted - y.Accepted)
+	case x.ID < y.ID:
+		return -1
+	case x.ID > y.ID:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// cancel ends a job at its caller's wish.
+func (o *Owner) cancel(id string) {
+	j := o.jobs[id]
+	if j == nil || j.track.Final != steps.Open {
+		return
+	}
+	o.Stats.Cancels.Inc(1)
+	j.track.Final = steps.Cancelled
+	o.Log.Info().Str("job", id).Str("pool", o.Pool).Int("active", j.active).Msg("job cancelled")
+	o.finish(j)
+}
+
+// finish records the end of a job and stops what is left of it.
+func (o *Owner) finish(j *job) {
+	o.touch(&j.doc)
+	o.promote(&j.doc)
+	j.track.Each(func(t *steps.Task) { o.stopRest(t) })
+	o.close(j)
+	o.dirty = true
+}
+
+// promote lets a document be written before those that changed earlier: a
+// caller waits for it.
+func (o *Owner) promote(d *doc) {
+	q := o.writer.queue
+	if i := slices.Index(q, d); i > 0 {
+		copy(q[1:i+1], q[:i])
+		q[0] = d
+	}
+}
+
+// close takes a job off the list of open ones.
+func (o *Owner) close(j *job) {
+	j.ended = o.Clock.Now()
+	if i := slices.Index(o.open, j); i >= 0 {
+		o.open = slices.Delete(o.open, i, i+1)
+	}
+}
+
+// end takes in the end of a run.
+func (o *Owner) end(h *host, e runs.End) {
+	o.Stats.Ends.Inc(1)
+	if e.How == runs.Failed {
+		o.Stats.EndsFailed.Inc(1)
+	}
+	j := o.jobs[e.Task.Job]
+	if j == nil {
+		h.ends = append(h.ends, noted{number: e.Number})
+		return
+	}
+	t := j.track.Task(e.Task)
+	if t == nil {
+		h.ends = append(h.ends, noted{number: e.Number})
+		return
+	}
+	if p := h.runs[e.Task]; p != nil && p.run == e.Run {
+		o.release(h, p)
+	}
+	was := j.track.Final
+	t.Run = max(t.Run, e.Run)
+	if e.How == runs.Failed {
+		t.Avoid = h.id
+	}
+	j.track.Ended(t, e.Run, e.How, e.Saved)
+	o.Log.Info().Str("job", j.id()).Str("task", e.Task.String()).Int("run", e.Run).Str("host", h.id).
+		Str("how", string(e.How)).Int("fails", t.Fails).Int64("number", e.Number).Msg("run ended")
+	o.dirty = true
+	if e.How == runs.Done || e.How == runs.Failed || e.Saved != "" {
+		o.touch(&j.doc)
+	}
+	h.ends = append(h.ends, noted{e.Number, j, j.version})
+	if t.Phase == steps.Finished {
+		o.stopRest(t)
+	}
+	if was == steps.Open && j.track.Final != steps.Open {
+		o.Log.Info().Str("job", j.id()).Str("pool", o.Pool).Str("state", string(j.track.Final)).
+			Int64("ageMs", o.Clock.Now().UnixMilli()-j.track.Job.Accepted).Msg("job ended")
+		o.finish(j)
+	}
+}
+
+// collectAfter is added to the time that an ended job is kept.
+const collectAfter = 10 * time.Second
+
+// collect forgets jobs that ended long ago, here and in the store.
+func (o *Owner) collect(now time.Time) {
+	if o.writer.busy || len(o.writer.queue) > 0 {
+		return
+	}
+	t := plat.Txn{Expect: []plat.Condition{{Key: o.Lead, Rev: o.Fence}}}
+	for id, j := range o.jobs {
+		if j.ended.IsZero() || j.active > 0 || now.Sub(j.ended) < o.Bounds.Keep+collectAfter {
+			continue
+		}
+		t.Remove = append(t.Remove, JobKey(o.Pool, id), j.key, CancelKey(o.Pool, id))
+		delete(o.jobs, id)
+		delete(o.cancels, id)
+		if len(t.Remove) >= 2*maxDocs-3 {
+			break
+		}
+	}
+	if len(t.Remove) == 0 {
+		return
+	}
+	o.writer.busy = true
+	go func() {
+		rev, items, err := o.Store.Commit(o.ctx, t)
+		o.post(committed{rev: rev, items: items, err: err})
+	}()
+}
+
+// digestEvery is the shortest pause between two accounts of what waits; readers
+// may see one that is two seconds old.
+const digestEvery = 700 * time.Millisecond
+
+// Digest is the account of a pool's waiting jobs, by queue.
+type Digest struct {
+	Waiting map[string]int `json:"waiting"`
+}
+
+func (o *Owner) encodeDigest() []byte {
+	d := Digest{Waiting: map[string]int{}}
+	for _, j := range o.open {
+		if !j.track.Started && j.track.Job.Times == 0 {
+			d.Waiting[j.track.Job.Queue]++
+		}
+	}
+	b, err := json.Marshal(d)
+	if err != nil {
+		o.Log.Error().Err(err).Msg("digest not encodable")
+	}
+	return b
+}
+
+// summarize publishes the account of what waits when it has changed.
+func (o *Owner) summarize(now time.Time) {
+	if now.Sub(o.summed) < digestEvery || o.digest.queued {
+		return
+	}
+	o.summed = now
+	if s := string(o.encodeDigest()); s != o.lastDigest {
+		o.lastDigest = s
+		o.touch(o.digest)
+	}
+}
--- /dev/null
+++ b/pack/pack.go
@@ -0,0 +1,101 @@
+// Package pack decides which waiting subtask starts first and on which worker.
+// Its functions are pure.
+package pack
+
+import (
+	"slices"
+
+	"shallotpaddle/hosts"
+)
+
+// Host is a worker that may take a subtask.
+type Host struct {
+	ID     string
+	Rack   string
+	Labels []string
+	Room   hosts.Room
+	Free   hosts.Room
+	// Sick tells that subtasks lately failed there without end.
+	Sick bool
+}
+
+// Want is what a subtask demands.
+type Want struct {
+	Room hosts.Room
+	// Fills takes what others leave: processor is not counted.
+	Fills bool
+	Label string
+	Rack  string
+	// Spread prefers the worker with the fewest subtasks of the step.
+	Spread bool
+	// PerHost is the most subtasks of the step on one worker; 0 is no limit.
+	PerHost int
+	// Avoid is the worker on which the subtask failed last.
+	Avoid string
+}
+
+// Fits tells whether a host has room for a demand now.
+func (h *Host) Fits(w *Want) bool {
+	if !w.Fills && w.Room.CPU > h.Free.CPU {
+		return false
+	}
+	return w.Room.Mem <= h.Free.Mem && w.Room.GPU <= h.Free.GPU
+}
+
+// Take reserves room on a host.
+func (h *Host) Take(w *Want) {
+	if !w.Fills {
+		h.Free.CPU -= w.Room.CPU
+	}
+	h.Free.Mem -= w.Room.Mem
+	h.Free.GPU -= w.Room.GPU
+}
+
+// Weights of the preferences between workers that fit, of which each goes
+// before all below it.
+const (
+	remoteWeight = 1 << 12
+	spreadWeight = 1 << 8
+	scale        = 1 << 7 // resolution of the share of a worker that is in use
+)
+
+// Choose returns the index of the worker that a subtask should run on, or -1.
+// Count returns how many subtasks of its step a worker has.
+//
+// It answers a queue's turn, when more is asked than the pool holds: data's
+// rack first, then the emptiest worker, so that a slow or sick worker holds as
+// few subtasks of a step as can be.
+func Choose(w *Want, all []Host, count func(i int) int) int {
+	best, cost := -1, 0
+	for i := range all {
+		h := &all[i]
+		if h.Sick || !h.Fits(w) || w.Label != "" && !slices.Contains(h.Labels, w.Label) {
+			continue
+		}
+		n := count(i)
+		if w.PerHost > 0 && n >= w.PerHost {
+			continue
+		}
+		c := used(h)
+		if w.Spread {
+			c += n * spreadWeight
+		}
+		if w.Rack != "" && !slices.Contains(h.Labels, w.Rack) {
+			c += remoteWeight
+		}
+		if h.ID == w.Avoid {
+			c += 2 * remoteWeight
+		}
+		if best < 0 || c < cost {
+			best, cost = i, c
+		}
+	}
+	return best
+}
+
+// used returns the larger share of processor or memory in use, in units of scale.
+func used(h *Host) int {
+	cpu := scale - scale*h.Free.CPU/max(h.Room.CPU, 1)
+	mem := scale - scale*h.Free.Mem/max(h.Room.Mem, 1)
+	return max(cpu, mem)
+}
--- a/plat/types.go
+++ b/plat/types.go
@@ -35,6 +35,28 @@
 	Rev int64 `json:"rev"`
 	// Gone marks a deleted key in the answer to a watch.
 	Gone bool `json:"gone,omitempty"`
+	// Created is the revision at which the key was created; 0 if not told.
+	Created int64 `json:"created,omitempty"`
+}
+
+// Condition demands that a key has a revision; 0 means that it does not exist.
+type Condition struct {
+	Key string
+	Rev int64
+}
+
+// Put sets a key, under a lease unless that is 0.
+type Put struct {
+	Key   string
+	Value []byte
+	Lease int64
+}
+
+// Txn is a set of changes that are made all together if all conditions hold.
+type Txn struct {
+	Expect []Condition
+	Puts   []Put
+	Remove []string
 }
 
 // Host is one line of the platform's list of hosts.
