steward: maintain the hosts of waves through an elected steward

Ruled out: orders by the owners of pools: a host that crosses pools would need tokens that rise across them, and a wave's bound counts over all pools. Change: steward (plan in the store, whose revision is the token of its orders), shift (which host next), release of workers by owners. The moves and the order of waiting work that the same packages hold are not in force yet.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -21,12 +21,15 @@
 	"shallotpaddle/owner"
 	"shallotpaddle/platform"
 	"shallotpaddle/policy"
+	"shallotpaddle/steward"
 )
 
 const (
 	// leaseTTL is the length of the entry's lease: pools of a lost entry are
 	// vacant for that long.
 	leaseTTL = 1500 * time.Millisecond
+	// quietMargin is added to the shortest pause between two stewards' orders.
+	quietMargin = 200 * time.Millisecond
 	// notice is how long a stopping entry still takes requests, until the
 	// balancer has missed two probes of a second each.
 	notice = 2500 * time.Millisecond
@@ -60,6 +63,7 @@
 	mu     sync.Mutex
 	owners map[string]*running // by pool
 	wake   chan struct{}       // an owner was added
+	waves  map[string]steward.Wave
 }
 
 // running is an owner that this entry runs.
@@ -74,7 +78,7 @@
 	a := &Agent{
 		set: set, clock: clock, log: logger, reg: metrics.NewRegistry(),
 		store: platform.NewStore(set.Store), workers: platform.NewWorkers(), fleet: platform.NewFleet(set.Fleet),
-		owners: map[string]*running{}, wake: make(chan struct{}, 1),
+		owners: map[string]*running{}, waves: map[string]steward.Wave{}, wake: make(chan struct{}, 1),
 	}
 	a.stats = owner.NewStats(a.reg)
 	a.desk = newDesk(a)
@@ -100,6 +104,7 @@
 	go a.elector.Run(ctx)
 	go a.followPolicy(ctx)
 	go a.followWorkers(ctx)
+	go a.followPlan(ctx)
 	go a.serve(front, callers)
 	go a.serve(probes, ready)
 	a.log.Info().Str("entry", a.set.Name).Str("callers", a.set.Callers).Float64("cores", a.set.Cores).
@@ -159,7 +164,13 @@
 			List: a.store.List, Watch: a.store.Watch, Commit: a.store.Commit, Get: a.store.Get,
 			Grant: a.store.Grant, Renew: a.store.Renew, Revoke: a.store.Revoke,
 		},
-		Won:  func(t elect.Term) { a.startOwner(ctx, t) },
+		Won: func(t elect.Term) {
+			if t.Pool == steward.Seat {
+				a.startSteward(ctx, t)
+				return
+			}
+			a.startOwner(ctx, t)
+		},
 		Lost: func(t elect.Term, _ string) { a.stopOwner(t) },
 	})
 }
@@ -173,14 +184,13 @@
 		Workers: owner.Workers{
 			Start: a.workers.Start, Stop: a.workers.Stop, Pace: a.workers.Pace, Renew: a.workers.Renew,
 		},
-		Clock: a.clock, Log: a.log, Stats: a.stats,
+		Releases: func(ctx context.Context) (map[string]int64, int64, error) { return a.releases(ctx, t.Pool) },
+		Clock:    a.clock, Log: a.log, Stats: a.stats,
 	})
 	if v := a.version.Load(); v != nil {
 		o.SetPolicy(v)
 	}
-	a.mu.Lock()
-	a.owners[t.Pool] = &running{o, t.Fence, stop}
-	a.mu.Unlock()
+	a.keep(t, o, stop)
 	select {
 	case a.wake <- struct{}{}:
 	default:
@@ -193,6 +203,33 @@
 	}()
 }
 
+// keep notes what runs for a seat; owner is nil for the steward.
+func (a *Agent) keep(t elect.Term, o *owner.Owner, stop context.CancelFunc) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.owners[t.Pool] = &running{o, t.Fence, stop}
+}
+
+func (a *Agent) startSteward(ctx context.Context, t elect.Term) {
+	run, stop := context.WithCancel(ctx)
+	s := steward.New(steward.Params{
+		Name: a.set.Name, Lead: elect.LeadKey(t.Pool), Fence: t.Fence, Quiet: a.set.Bounds.Lease + quietMargin,
+		Down: a.set.Bounds.Upkeep, Clock: a.clock, Log: a.log, Policy: a.version.Load, Waves: a.waveList,
+		List: a.store.List, Commit: a.store.Commit, Hosts: a.fleet.Hosts, Move: a.fleet.Move, Upkeep: a.fleet.Maintain,
+		Status: platform.WaveStatus,
+	})
+	if t.Number == 1 {
+		s.Quiet = 0 // nobody can have given an order before
+	}
+	a.keep(t, nil, stop)
+	go func() {
+		defer stop()
+		if err := s.Run(run); errors.Is(err, steward.ErrDeposed) {
+			a.elector.GiveUp(t.Pool)
+		}
+	}()
+}
+
 func (a *Agent) stopOwner(t elect.Term) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -207,7 +244,9 @@
 	a.mu.Lock()
 	list := make(map[string]*owner.Owner, len(a.owners))
 	for pool, r := range a.owners {
-		list[pool] = r.owner
+		if r.owner != nil {
+			list[pool] = r.owner
+		}
 	}
 	a.mu.Unlock()
 	for pool, o := range list {
--- a/agent/follow.go
+++ b/agent/follow.go
@@ -2,19 +2,25 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"shallotpaddle/hosts"
 	"shallotpaddle/owner"
 	"shallotpaddle/plat"
 	"shallotpaddle/platform"
+	"shallotpaddle/steward"
 )
 
 const (
 	// watchWait is how long a watch of the operators' keys waits; a connection
 	// that has gone silent is noticed after that time.
 	watchWait = 1500 * time.Millisecond
+	// planWait is how long a watch of the steward's plan waits.
+	planWait = 5 * time.Second
 	// workersEvery is how often an entry with owners reads the registered
 	// workers: a leaving one must be known well within its notice.
 	workersEvery = 700 * time.Millisecond
@@ -22,46 +28,129 @@
 	retryPause = 100 * time.Millisecond
 )
 
-// followPolicy keeps the configuration in force up to date.
-func (a *Agent) followPolicy(ctx context.Context) {
+// watch is one prefix of the store that is followed.
+type watch struct {
+	prefix string
+	wait   time.Duration
+	take   func(plat.Item)
+}
+
+// follow passes on the items of a prefix as they are and as they change. It
+// logs when the store is lost and regained.
+func (a *Agent) follow(ctx context.Context, w watch) {
 	var rev int64
 	lost := false
 	for ctx.Err() == nil {
-		var items []plat.Item
-		var next int64
-		var err error
-		if rev == 0 {
-			items, next, err = a.store.List(ctx, platform.OperatorPrefix)
-		} else {
-			items, next, err = a.store.Watch(ctx, platform.OperatorPrefix, rev, watchWait)
-		}
+		items, next, err := a.next(ctx, w, rev)
 		if errors.Is(err, plat.ErrCompacted) {
-			a.log.Info().Int64("rev", rev).Msg("history of the operators' keys is gone")
+			a.log.Info().Str("prefix", w.prefix).Int64("rev", rev).Msg("history is gone")
 			rev = 0
 			continue
 		}
+		if (err != nil) != lost {
+			lost = err != nil
+			a.log.Warn().Str("prefix", w.prefix).Bool("lost", lost).Err(err).Msg("contact with the store changed")
+		}
 		if err != nil {
-			if !lost {
-				a.log.Warn().Err(err).Msg("store lost")
-			}
-			lost = true
 			a.pause(ctx, retryPause)
 			continue
 		}
-		if lost {
-			a.log.Info().Msg("store regained")
-			lost = false
-		}
 		rev = next
 		for _, it := range items {
-			a.takeOperator(it)
+			w.take(it)
 		}
 	}
 }
 
+// next returns what has changed after a revision; all there is after 0.
+func (a *Agent) next(ctx context.Context, w watch, rev int64) ([]plat.Item, int64, error) {
+	if rev == 0 {
+		return a.store.List(ctx, w.prefix)
+	}
+	return a.store.Watch(ctx, w.prefix, rev, w.wait)
+}
+
+// followPolicy keeps the configuration and the waves up to date.
+func (a *Agent) followPolicy(ctx context.Context) {
+	a.follow(ctx, watch{platform.OperatorPrefix, watchWait, a.takeOperator})
+}
+
+// followPlan tells owners which workers the steward wants emptied.
+func (a *Agent) followPlan(ctx context.Context) {
+	a.follow(ctx, watch{steward.PlanPrefix, planWait, func(it plat.Item) {
+		p, err := decodePlan(it)
+		if err != nil {
+			a.log.Error().Str("key", it.Key).Err(err).Msg("plan not readable")
+			return
+		}
+		a.each(func(pool string, o *owner.Owner) { o.SetReleases(p.Releases(pool), it.Rev) })
+	}})
+}
+
+func decodePlan(it plat.Item) (*steward.Plan, error) {
+	p := &steward.Plan{}
+	if it.Gone {
+		return p, nil
+	}
+	return p, json.Unmarshal(it.Value, p)
+}
+
+// releases reads the steward's plan for one pool.
+func (a *Agent) releases(ctx context.Context, pool string) (map[string]int64, int64, error) {
+	items, _, err := a.store.List(ctx, steward.PlanKey)
+	if err != nil {
+		return nil, 0, err
+	}
+	for _, it := range items {
+		if it.Key != steward.PlanKey {
+			continue
+		}
+		p, err := decodePlan(it)
+		if err != nil {
+			return nil, 0, err
+		}
+		return p.Releases(pool), it.Rev, nil
+	}
+	return nil, 0, nil
+}
+
+// takeWave takes in a wave of maintenance.
+func (a *Agent) takeWave(it plat.Item) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if it.Gone {
+		delete(a.waves, it.Key)
+		return
+	}
+	w, err := platform.DecodeWave(it)
+	if err != nil {
+		a.log.Error().Err(err).Msg("wave not readable")
+		return
+	}
+	if _, known := a.waves[it.Key]; !known {
+		a.waves[it.Key] = steward.Wave{Wave: w, Seen: a.clock.Now()}
+		a.log.Info().Str("wave", w.Number).Int("hosts", len(w.Hosts)).Int("most", w.Most).Dur("within", w.Within).Msg("wave asked for")
+	}
+}
+
+// waveList returns the waves that were asked for, in order.
+func (a *Agent) waveList() []steward.Wave {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out := make([]steward.Wave, 0, len(a.waves))
+	for _, k := range slices.Sorted(maps.Keys(a.waves)) {
+		out = append(out, a.waves[k])
+	}
+	return out
+}
+
 // takeOperator takes in a key that operators write. A configuration never goes
 // back to a lower number.
 func (a *Agent) takeOperator(it plat.Item) {
+	if platform.IsWave(it.Key) {
+		a.takeWave(it)
+		return
+	}
 	if it.Gone || !platform.IsConfig(it.Key) {
 		return
 	}
@@ -79,7 +168,7 @@
 	for _, p := range v.Pools {
 		names = append(names, p.Name)
 	}
-	a.elector.SetPools(names)
+	a.elector.SetPools(append(names, steward.Seat))
 	a.each(func(_ string, o *owner.Owner) { o.SetPolicy(v) })
 }
 
--- a/owner/act.go
+++ b/owner/act.go
@@ -40,10 +40,7 @@
 	if len(cands) == 0 {
 		return
 	}
-	for _, j := range o.open {
-		if !j.fresh && !o.clear {
-			continue
-		}
+	for _, j := range o.order(now) {
 		var gang []*steps.Task
 		j.track.Ready(now, func(t *steps.Task) bool {
 			if now.Before(t.Held) {
@@ -63,6 +60,58 @@
 	}
 }
 
+// order returns the jobs that may start something, in the order in which they may.
+func (o *Owner) order(now time.Time) []*job {
+	list := make([]pack.Waiting, 0, len(o.open))
+	for i, j := range o.open {
+		if !j.fresh && !o.clear {
+			continue
+		}
+		left := j.track.Chain(func(s *steps.Step) time.Duration { return o.expect(j, s) })
+		list = append(list, pack.Waiting{
+			Index: i, Rank: j.track.Job.Rank, Lasting: j.lasting, Begun: j.track.Begun(),
+			Accepted: time.UnixMilli(j.track.Job.Accepted), Aim: o.aim(j, left), Left: left,
+		})
+	}
+	_ = func(a, b pack.Waiting) int { return pack.Compare(&a, &b, now) }
+	out := make([]*job, len(list))
+	for i := range list {
+		out[i] = o.open[list[i].Index]
+	}
+	return out
+}
+
+// expect returns the expected run time of a step's subtasks.
+func (o *Owner) expect(j *job, s *steps.Step) time.Duration {
+	declared := time.Duration(s.Estimate) * time.Millisecond
+	if f := o.forecasts[j.track.Job.Queue]; f != nil {
+		return f.Predict(declared)
+	}
+	return declared
+}
+
+// aim returns the time within which a job is on time.
+func (o *Owner) aim(j *job, left time.Duration) time.Duration {
+	if j.chain == 0 || left > j.chain {
+		j.chain = left
+	}
+	return time.Duration(float64(j.chain)*j.track.Job.Slack) + time.Duration(j.track.Job.Target)*time.Millisecond
+}
+
+// learn takes in how long a run took.
+func (o *Owner) learn(p *placement, now time.Time) {
+	if p.confirmed.IsZero() || p.task.Step.Lasting {
+		return
+	}
+	q := p.job.track.Job.Queue
+	f := o.forecasts[q]
+	if f == nil {
+		f = &pack.Forecast{}
+		o.forecasts[q] = f
+	}
+	f.Observe(time.Duration(p.task.Step.Estimate)*time.Millisecond, now.Sub(p.confirmed))
+}
+
 // candidates returns the workers that may take work, as the decision sees them.
 func (o *Owner) candidates(now time.Time) ([]pack.Host, []*host) {
 	cands := make([]pack.Host, 0, len(o.hosts))
--- a/owner/host.go
+++ b/owner/host.go
@@ -41,6 +41,8 @@
 	failing  time.Time // since when looks have failed; zero if they don't
 	leaving  time.Time // when the worker was first known to leave
 	full     time.Time // no starts before this time: it had no room
+	// release is the steward's task for which the worker is emptied; 0 for none.
+	release int64
 }
 
 // noted is an end that may be forgotten when its job is stored at a version.
@@ -105,7 +107,7 @@
 
 // usable tells whether the worker may get new work.
 func (h *host) usable(now time.Time, roster int) bool {
-	return h.listed && h.answered && h.failing.IsZero() && !h.w.Draining && h.recorded <= roster && !now.Before(h.full)
+	return h.listed && h.answered && h.failing.IsZero() && !h.w.Draining && h.release == 0 && h.recorded <= roster && !now.Before(h.full)
 }
 
 // lease returns how long a lease the owner gives.
@@ -194,6 +196,7 @@
 	}
 	if h == nil {
 		h = newHost(w)
+		h.release = o.releases[w.ID]
 		o.hosts[w.ID] = h
 		o.touch(o.roster)
 		h.recorded = o.roster.version
@@ -371,6 +374,7 @@
 	o.takeEnds(h, m.report.Ended)
 	o.takeRunning(h, m.report, m.sent, now)
 	o.noteEnds()
+	o.released = o.released || h.release != 0 && h.empty()
 	h.nextLook = now.Add(lookGap)
 	if len(h.ends) > 0 {
 		h.nextLook = now.Add(lookGapUnstored)
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -21,6 +21,10 @@
 	// active is the number of subtasks that hold room on a worker.
 	active int
 	ended  time.Time // when it was known to have ended
+	// lasting tells that subtasks run until the job is cancelled.
+	lasting bool
+	// chain is the longest chain of work that the job was expected to have.
+	chain time.Duration
 }
 
 func (j *job) id() string { return j.track.Job.ID }
@@ -55,6 +59,11 @@
 	if err := o.readRoster(ctx); err != nil {
 		return 0, err
 	}
+	releases, planRev, err := o.Releases(ctx)
+	if err != nil {
+		return 0, err
+	}
+	o.takeReleases(releasing{releases, planRev})
 	byKey := make(map[string]plat.Item, len(states))
 	for _, it := range states {
 		byKey[it.Key] = it
@@ -120,7 +129,7 @@
 }
 
 func (o *Owner) add(doc *steps.Job, fresh bool) {
-	j := &job{track: steps.NewTrack(doc), fresh: fresh}
+	j := &job{track: steps.NewTrack(doc), fresh: fresh, lasting: doc.Lasting()}
 	j.key = StateKey(o.Pool, doc.ID)
 	j.encode = func() []byte {
 		b, err := json.Marshal(j.track.Record())
@@ -211,6 +220,9 @@
 		return
 	}
 	if p := h.runs[e.Task]; p != nil && p.run == e.Run {
+		if e.How == runs.Done && e.Saved == "" {
+			o.learn(p, o.Clock.Now())
+		}
 		o.release(h, p)
 	}
 	was := j.track.Final
@@ -226,6 +238,7 @@
 		o.touch(&j.doc)
 	}
 	h.ends = append(h.ends, noted{e.Number, j, j.version})
+	o.released = o.released || h.release != 0
 	if t.Phase == steps.Finished {
 		o.stopRest(t)
 	}
@@ -268,20 +281,52 @@
 
 // digestEvery is the shortest pause between two accounts of what waits; readers
 // may see one that is two seconds old.
-const digestEvery = 700 * time.Millisecond
+const digestEvery = 300 * time.Millisecond
 
-// Digest is the account of a pool's waiting jobs, by queue.
+// Digest is what the owner of a pool tells the other entries. It is a document.
 type Digest struct {
+	// Waiting is the number of jobs that have not begun, by queue.
 	Waiting map[string]int `json:"waiting"`
+	// Want is the processor that running and waiting work asks for, in
+	// thousandths of a core.
+	Want int `json:"want"`
+	// Floor is the fewest workers that the lasting work needs.
+	Floor int `json:"floor"`
+	// Hosts has the load of each worker.
+	Hosts map[string]HostLoad `json:"hosts"`
+	// Released has the workers that were emptied, with the steward's task.
+	Released map[string]int64 `json:"released,omitempty"`
+}
+
+// HostLoad is what runs on a worker.
+type HostLoad struct {
+	Used    int `json:"u,omitempty"` // thousandths of a core
+	Lasting int `json:"l,omitempty"` // lasting subtasks
 }
 
 func (o *Owner) encodeDigest() []byte {
-	d := Digest{Waiting: map[string]int{}}
+	d := Digest{Waiting: map[string]int{}, Hosts: map[string]HostLoad{}, Released: map[string]int64{}}
+	now := o.Clock.Now()
 	for _, j := range o.open {
 		if !j.track.Started && j.track.Job.Times == 0 {
 			d.Waiting[j.track.Job.Queue]++
 		}
+		d.Floor = max(d.Floor, spread(j.track.Job))
+		j.track.Ready(now, func(t *steps.Task) bool {
+			if !t.Step.Fills {
+				d.Want += t.Step.CPU
+			}
+			return true
+		})
+	}
+	for _, h := range o.hosts {
+		d.Want += h.used.CPU
+		d.Hosts[h.id] = HostLoad{roughly(h.used.CPU), h.lasting()}
+		if h.release != 0 && h.empty() {
+			d.Released[h.id] = h.release
+		}
 	}
+	d.Want = roughly(d.Want)
 	b, err := json.Marshal(d)
 	if err != nil {
 		o.Log.Error().Err(err).Msg("digest not encodable")
@@ -289,11 +334,30 @@
 	return b
 }
 
+// digestGrain is the resolution of the digest's processor figures, so that
+// small changes need no write.
+const digestGrain = 4000
+
+func roughly(cpu int) int { return (cpu + digestGrain - 1) / digestGrain * digestGrain }
+
+// spread returns the number of workers that a job's lasting steps need.
+func spread(j *steps.Job) int {
+	n := 0
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		if s.Lasting && s.PerHost > 0 {
+			n = max(n, (s.Count+s.PerHost-1)/s.PerHost)
+		}
+	}
+	return n
+}
+
 // summarize publishes the account of what waits when it has changed.
 func (o *Owner) summarize(now time.Time) {
-	if now.Sub(o.summed) < digestEvery || o.digest.queued {
+	if (now.Sub(o.summed) < digestEvery && !o.released) || o.digest.queued {
 		return
 	}
+	o.released = false
 	o.summed = now
 	if s := string(o.encodeDigest()); s != o.lastDigest {
 		o.lastDigest = s
--- a/owner/keys.go
+++ b/owner/keys.go
@@ -14,8 +14,11 @@
 // StateKey is where the progress of a job is kept.
 func StateKey(pool, id string) string { return statePrefix(pool) + id }
 
-// DigestKey is where the number of waiting jobs of a pool's queues is kept.
-func DigestKey(pool string) string { return "digest/" + pool }
+// DigestPrefix is the prefix of the digests.
+const DigestPrefix = "digest/"
+
+// DigestKey is where the digest of a pool is kept.
+func DigestKey(pool string) string { return DigestPrefix + pool }
 
 const cancelSuffix = "/cancel"
 
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -15,6 +15,7 @@
 	"github.com/phuslu/log"
 
 	"shallotpaddle/hosts"
+	"shallotpaddle/pack"
 	"shallotpaddle/plat"
 	"shallotpaddle/policy"
 	"shallotpaddle/runs"
@@ -60,9 +61,12 @@
 	Bounds  Bounds
 	Store   Store
 	Workers Workers
-	Clock   quartz.Clock
-	Log     *log.Logger
-	Stats   *Stats
+	// Releases returns the workers that the steward wants emptied, with its tasks,
+	// and the revision of its plan.
+	Releases func(ctx context.Context) (map[string]int64, int64, error)
+	Clock    quartz.Clock
+	Log      *log.Logger
+	Stats    *Stats
 }
 
 // Owner is the elected owner of a pool. Its tables belong to the goroutine in Run.
@@ -90,6 +94,13 @@
 	// rostered tells that the registered workers are known, and clear that every
 	// run of an earlier owner is accounted for.
 	rostered, clear bool
+	// releases are the workers to be emptied, with the steward's tasks, as of a
+	// revision of its plan.
+	releases map[string]int64
+	planRev  int64
+	released bool // a worker was emptied since the last digest
+	// forecasts are the learnt run times, by queue.
+	forecasts map[string]*pack.Forecast
 }
 
 // mailbox is the number of messages that may wait for the loop; calls block
@@ -100,7 +111,7 @@
 func New(p Params) *Owner {
 	o := &Owner{
 		Params: p, in: make(chan any, mailbox), done: make(chan struct{}), hosts: map[string]*host{}, jobs: map[string]*job{},
-		cancels: map[string]struct{}{},
+		cancels: map[string]struct{}{}, forecasts: map[string]*pack.Forecast{},
 	}
 	o.roster = &doc{key: rosterKey(p.Pool), encode: o.encodeRoster}
 	o.digest = &doc{key: DigestKey(p.Pool), encode: o.encodeDigest}
@@ -112,6 +123,11 @@
 	listed   struct{ workers []hosts.Worker }
 	changed  struct{ version *policy.Version }
 	appeared struct{ items []plat.Item }
+
+	releasing struct {
+		workers map[string]int64
+		rev     int64
+	}
 )
 
 // SetWorkers tells the owner which workers are registered in its pool.
@@ -120,6 +136,9 @@
 // SetPolicy tells the owner the configuration in force.
 func (o *Owner) SetPolicy(v *policy.Version) { o.post(changed{v}) }
 
+// SetReleases tells the owner which workers the steward wants emptied.
+func (o *Owner) SetReleases(workers map[string]int64, rev int64) { o.post(releasing{workers, rev}) }
+
 // post hands a message to the loop unless the owner has ended.
 func (o *Owner) post(m any) {
 	select {
@@ -192,6 +211,8 @@
 		for _, it := range m.items {
 			o.takeItem(it, true)
 		}
+	case releasing:
+		o.takeReleases(m)
 	case started:
 		o.takeStarted(m)
 	case stopped:
@@ -207,6 +228,7 @@
 func (o *Owner) step(now time.Time) time.Duration {
 	o.expire(now)
 	o.leave(now)
+	o.emptyReleased()
 	next := tick
 	if o.dirty {
 		if wait := planEvery - now.Sub(o.planned); wait > 0 {
--- /dev/null
+++ b/shift/shift.go
@@ -0,0 +1,154 @@
+// Package shift decides which hosts change their pool and which are maintained
+// next. Its functions are pure.
+package shift
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// Pool is a pool as the decision sees it.
+type Pool struct {
+	Name string
+	// Standby tells that the pool's hosts are off and cost nothing.
+	Standby bool
+	// Want is the processor that running and waiting work asks for, in
+	// thousandths of a core.
+	Want int
+	// Floor is the fewest hosts that the pool's lasting work needs.
+	Floor int
+	// Hosts are those in the pool, without those that leave it.
+	Hosts []Host
+	// Coming is the number of hosts on their way into the pool.
+	Coming int
+}
+
+// Host is a host that may be given away.
+type Host struct {
+	Name string
+	// CPU is what it holds, Used what runs on it, in thousandths of a core.
+	CPU, Used int
+	// Lasting is the number of lasting subtasks on it.
+	Lasting int
+	// Fixed tells that the host can't be given away now.
+	Fixed bool
+}
+
+// Move is a host that changes its pool.
+type Move struct{ Host, From, To string }
+
+// headroom is the share by which a pool's hosts should exceed what is asked:
+// large subtasks leave gaps.
+const headroom = 1.15
+
+// Need returns the number of hosts that a pool's work asks for.
+func Need(p *Pool, cpu int) int {
+	if p.Standby {
+		return 0
+	}
+	return max(p.Floor, int(math.Ceil(float64(p.Want)*headroom/float64(max(cpu, 1)))))
+}
+
+// Moves returns the hosts that should change their pool.
+//
+// It answers queues that take turns: one pool is asked for several times its
+// mean while the others stand nearly idle. Hosts come from standby first, then
+// from the pools with the most to spare, idle ones before busy ones.
+func Moves(pools []Pool, cpu int) []Move {
+	type balance struct {
+		pool  *Pool
+		spare int // hosts above the need; negative if some are missing
+	}
+	var givers, takers []*balance
+	for i := range pools {
+		p := &pools[i]
+		b := &balance{p, len(p.Hosts) + p.Coming - Need(p, cpu)}
+		switch {
+		case b.spare > 0:
+			givers = append(givers, b)
+		case b.spare < 0 && !p.Standby:
+			takers = append(takers, b)
+		}
+	}
+	slices.SortStableFunc(givers, func(a, b *balance) int {
+		if a.pool.Standby != b.pool.Standby {
+			if a.pool.Standby {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(b.spare, a.spare)
+	})
+	slices.SortStableFunc(takers, func(a, b *balance) int { return cmp.Compare(a.spare, b.spare) })
+	var out []Move
+	for _, t := range takers {
+		for _, g := range givers {
+			for _, h := range givable(g.pool) {
+				if t.spare >= 0 || g.spare <= 0 {
+					break
+				}
+				if taken(out, h.Name) {
+					continue
+				}
+				out = append(out, Move{h.Name, g.pool.Name, t.pool.Name})
+				t.spare++
+				g.spare--
+			}
+		}
+	}
+	return out
+}
+
+func taken(moves []Move, host string) bool {
+	return slices.ContainsFunc(moves, func(m Move) bool { return m.Host == host })
+}
+
+// givable returns the hosts that a pool may give away, the idlest first.
+func givable(p *Pool) []Host {
+	out := slices.DeleteFunc(slices.Clone(p.Hosts), func(h Host) bool { return h.Fixed || h.Lasting > 0 })
+	slices.SortStableFunc(out, func(a, b Host) int { return cmp.Compare(a.Used, b.Used) })
+	return out
+}
+
+// Due is a host that waits for its maintenance.
+type Due struct {
+	Host
+	Pool string
+	// Off tells that nothing runs there because the host is on standby.
+	Off bool
+}
+
+// Maintain returns the hosts that should be maintained next, at most room of them.
+//
+// It answers a wave that falls into a queue's turn: hosts on standby go first,
+// then idle ones; the share of the time that is left against the hosts that are
+// left says how many busy ones must go with them. Pace is that number.
+func Maintain(due []Due, room, pace int) []Due {
+	due = slices.Clone(due)
+	slices.SortStableFunc(due, func(a, b Due) int {
+		return cmp.Or(cmp.Compare(cost(&a), cost(&b)), cmp.Compare(a.Name, b.Name))
+	})
+	var out []Due
+	for i := range due {
+		if len(out) >= room {
+			break
+		}
+		if cost(&due[i]) > 0 && len(out) >= pace {
+			break
+		}
+		out = append(out, due[i])
+	}
+	return out
+}
+
+// lastingCost is what a lasting subtask on a host counts, in thousandths of a core.
+const lastingCost = 100_000
+
+// cost is what the maintenance of a host disturbs now.
+func cost(d *Due) int {
+	if d.Off {
+		return 0
+	}
+	return d.Used + d.Lasting*lastingCost
+}
--- a/steps/track.go
+++ b/steps/track.go
@@ -244,3 +244,30 @@
 
 // Left returns the subtasks of a step that are not done.
 func (t *Track) Left(occur, step int) int { return t.occur(occur).left[step] }
+
+// Chain returns the longest chain of work that is left, given the expected run
+// time of a step.
+func (t *Track) Chain(expect func(*Step) time.Duration) time.Duration {
+	var longest time.Duration
+	for _, o := range t.occurs {
+		if o == nil {
+			o = t.occur(0)
+		}
+		ends := make([]time.Duration, len(t.Job.Steps))
+		for s := range t.Job.Steps {
+			step := &t.Job.Steps[s]
+			for _, a := range step.After {
+				ends[s] = max(ends[s], ends[a])
+			}
+			if o.left[s] > 0 {
+				ends[s] += expect(step)
+			}
+			longest = max(longest, ends[s])
+		}
+		break // occurrences don't wait for each other
+	}
+	return longest
+}
+
+// Begun tells whether any subtask has run or runs.
+func (t *Track) Begun() bool { return t.Started }
