steward: move hosts to the pools that are asked for most

Ruled out: moves decided by each pool's owner alone, where several givers would answer the same need. Change: the steward's moves are in force.

--- a/steward/steward.go
+++ b/steward/steward.go
@@ -119,7 +119,7 @@
 	s.settle(now)
 	if s.Policy() != nil {
 		s.maintain(now)
-		// s.move()
+		s.move()
 	}
 	if err := s.save(ctx); err != nil {
 		return err
