pack, owner: serve first what can still be on time

Ruled out: shortest job first, which starves the largest tenth, a class of its own. Change: tiers (begun and on time, on time, late, past its worth), on forecasts that are learnt from the runs and weigh declarations by how right they have been.

--- a/owner/act.go
+++ b/owner/act.go
@@ -73,7 +73,7 @@
 			Accepted: time.UnixMilli(j.track.Job.Accepted), Aim: o.aim(j, left), Left: left,
 		})
 	}
-	_ = func(a, b pack.Waiting) int { return pack.Compare(&a, &b, now) }
+	slices.SortStableFunc(list, func(a, b pack.Waiting) int { return pack.Compare(&a, &b, now) })
 	out := make([]*job, len(list))
 	for i := range list {
 		out[i] = o.open[list[i].Index]
--- /dev/null
+++ b/shift/shift_test.go
@@ -0,0 +1,99 @@
+package shift_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"shallotpaddle/shift"
+)
+
+const cpu = 32000
+
+// pool returns a pool of n hosts of which each uses the processor given.
+func pool(name string, n, want, used int) shift.Pool {
+	p := shift.Pool{Name: name, Want: want, Floor: 1}
+	for i := range n {
+		p.Hosts = append(p.Hosts, shift.Host{Name: fmt.Sprintf("%s%d", name, i), CPU: cpu, Used: used})
+	}
+	return p
+}
+
+func standby(n int) shift.Pool {
+	p := pool("off", n, 0, 0)
+	p.Standby, p.Floor = true, 0
+	return p
+}
+
+func byRoute(moves []shift.Move) map[string]int {
+	out := map[string]int{}
+	for _, m := range moves {
+		out[m.From+">"+m.To]++
+	}
+	return out
+}
+
+// TestMovesOfTurn replays a turn: one pool is asked for twice what it holds,
+// the others for a twentieth.
+func TestMovesOfTurn(t *testing.T) {
+	turn := []shift.Pool{pool("a", 8, 16*cpu, cpu), pool("b", 9, cpu/2, 0), pool("c", 11, cpu/2, 0), standby(8)}
+	got := byRoute(shift.Moves(turn, cpu))
+	require.Equal(t, 8, got["off>a"], "standby hosts come first")
+	require.Equal(t, 3, got["c>a"], "then those of the pool with the most to spare")
+	require.Zero(t, got["b>a"])
+}
+
+func TestMovesAreBounded(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		pools []shift.Pool
+		want  map[string]int
+	}{
+		{"nothing asked", []shift.Pool{pool("a", 8, 0, 0), standby(8)}, map[string]int{}},
+		{"hosts under way count", []shift.Pool{
+			func() shift.Pool { p := pool("a", 8, 9*cpu, cpu); p.Coming = 3; return p }(), standby(8),
+		}, map[string]int{}},
+		{"a giver keeps its need", []shift.Pool{pool("a", 1, 9*cpu, cpu), pool("b", 4, 2*cpu, 0)}, map[string]int{"b>a": 1}},
+		{"lasting work stays", []shift.Pool{pool("a", 1, 9*cpu, cpu), func() shift.Pool {
+			p := pool("b", 3, 0, 0)
+			for i := range p.Hosts {
+				p.Hosts[i].Lasting = 1
+			}
+			return p
+		}()}, map[string]int{}},
+		{"a floor is kept", []shift.Pool{pool("a", 1, 9*cpu, cpu), func() shift.Pool {
+			p := pool("b", 3, 0, 0)
+			p.Floor = 3
+			return p
+		}()}, map[string]int{}},
+	} {
+		require.Equal(t, c.want, byRoute(shift.Moves(c.pools, cpu)), c.name)
+	}
+}
+
+func TestMaintain(t *testing.T) {
+	due := func(used ...int) []shift.Due {
+		var out []shift.Due
+		for i, u := range used {
+			out = append(out, shift.Due{Host: shift.Host{Name: fmt.Sprint(i), Used: u}, Off: u < 0})
+		}
+		return out
+	}
+	for _, c := range []struct {
+		name       string
+		due        []shift.Due
+		room, pace int
+		want       int
+	}{
+		{"idle ones go at once", due(0, 0, 0, 9, 9), 5, 0, 3},
+		{"busy ones as the time demands", due(0, 9, 9, 9), 5, 2, 2},
+		{"never more than the wave allows", due(0, 0, 0), 2, 9, 2},
+		{"no room", due(0, 0), 0, 9, 0},
+		{"more under way than allowed", due(0, 0), -1, 9, 0},
+		{"standby first", due(5, -1, 9), 1, 1, 1},
+	} {
+		require.Len(t, shift.Maintain(c.due, c.room, c.pace), c.want, c.name)
+	}
+	require.Equal(t, "1", shift.Maintain(due(5, -1, 9), 1, 1)[0].Name)
+}
