shift, owner: empty hosts within what lasting work allows

A worker whose host had been moved got work until the list of workers caught up. Ruled out: slow restarts, the starts were refused by workers that were gone. Change: a pool keeps the hosts that its lasting work needs, one host with lasting work is emptied at a time, hosts that come count against what a pool lacks only, lasting work is placed on hosts whose maintenance is over, a report older than a look's wait proves nothing, and a released worker must answer before it gets work again. Tests in shift; the owner's part is still without one.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -184,8 +184,8 @@
 		Workers: owner.Workers{
 			Start: a.workers.Start, Stop: a.workers.Stop, Pace: a.workers.Pace, Renew: a.workers.Renew,
 		},
-		Releases: func(ctx context.Context) (map[string]int64, int64, error) { return a.releases(ctx, t.Pool) },
-		Clock:    a.clock, Log: a.log, Stats: a.stats,
+		Wishes: func(ctx context.Context) (owner.Wishes, error) { return a.wishes(ctx, t.Pool) },
+		Clock:  a.clock, Log: a.log, Stats: a.stats,
 	})
 	if v := a.version.Load(); v != nil {
 		o.SetPolicy(v)
--- a/agent/follow.go
+++ b/agent/follow.go
@@ -83,7 +83,7 @@
 			a.log.Error().Str("key", it.Key).Err(err).Msg("plan not readable")
 			return
 		}
-		a.each(func(pool string, o *owner.Owner) { o.SetReleases(p.Releases(pool), it.Rev) })
+		a.each(func(pool string, o *owner.Owner) { o.SetWishes(p.Wishes(pool, it.Rev)) })
 	}})
 }
 
@@ -95,11 +95,11 @@
 	return p, json.Unmarshal(it.Value, p)
 }
 
-// releases reads the steward's plan for one pool.
-func (a *Agent) releases(ctx context.Context, pool string) (map[string]int64, int64, error) {
+// wishes reads the steward's plan for one pool.
+func (a *Agent) wishes(ctx context.Context, pool string) (owner.Wishes, error) {
 	items, _, err := a.store.List(ctx, steward.PlanKey)
 	if err != nil {
-		return nil, 0, err
+		return owner.Wishes{}, err
 	}
 	for _, it := range items {
 		if it.Key != steward.PlanKey {
@@ -107,11 +107,11 @@
 		}
 		p, err := decodePlan(it)
 		if err != nil {
-			return nil, 0, err
+			return owner.Wishes{}, err
 		}
-		return p.Releases(pool), it.Rev, nil
+		return p.Wishes(pool, it.Rev), nil
 	}
-	return nil, 0, nil
+	return owner.Wishes{}, nil
 }
 
 // takeWave takes in a wave of maintenance.
--- a/owner/act.go
+++ b/owner/act.go
@@ -123,7 +123,7 @@
 		}
 		r := h.w.Room
 		cands = append(cands, pack.Host{
-			ID: h.id, Labels: h.w.Labels, Room: r,
+			ID: h.id, Labels: h.w.Labels, Room: r, Due: o.wishes.Due[h.id],
 			Free: hosts.Room{CPU: r.CPU - h.used.CPU, Mem: r.Mem - h.used.Mem, GPU: r.GPU - h.used.GPU},
 		})
 		rows = append(rows, h)
--- a/owner/host.go
+++ b/owner/host.go
@@ -196,7 +196,7 @@
 	}
 	if h == nil {
 		h = newHost(w)
-		h.release = o.releases[w.ID]
+		h.release = o.wishes.Release[w.ID]
 		o.hosts[w.ID] = h
 		o.touch(o.roster)
 		h.recorded = o.roster.version
@@ -262,10 +262,9 @@
 func (o *Owner) expire(now time.Time) {
 	for _, h := range o.hosts {
 		switch {
+		case h.answered && !h.listed && len(h.runs) == 0:
+			o.over(h, "not registered and idle")
 		case h.answered && h.failing.IsZero():
-			if !h.listed && len(h.runs) == 0 && len(h.ends) == 0 {
-				o.over(h, "not registered and idle")
-			}
 		case h.leaseOver(now, o.began, o.Bounds.HoldMax):
 			if h.listed && len(h.runs) == 0 && h.answered {
 				continue // keep asking
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -59,11 +59,11 @@
 	if err := o.readRoster(ctx); err != nil {
 		return 0, err
 	}
-	releases, planRev, err := o.Releases(ctx)
+	wishes, err := o.Wishes(ctx)
 	if err != nil {
 		return 0, err
 	}
-	o.takeReleases(releasing{releases, planRev})
+	o.takeWishes(wishes)
 	byKey := make(map[string]plat.Item, len(states))
 	for _, it := range states {
 		byKey[it.Key] = it
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -61,12 +61,11 @@
 	Bounds  Bounds
 	Store   Store
 	Workers Workers
-	// Releases returns the workers that the steward wants emptied, with its tasks,
-	// and the revision of its plan.
-	Releases func(ctx context.Context) (map[string]int64, int64, error)
-	Clock    quartz.Clock
-	Log      *log.Logger
-	Stats    *Stats
+	// Wishes reads what the steward wants of the pool's workers.
+	Wishes func(ctx context.Context) (Wishes, error)
+	Clock  quartz.Clock
+	Log    *log.Logger
+	Stats  *Stats
 }
 
 // Owner is the elected owner of a pool. Its tables belong to the goroutine in Run.
@@ -94,11 +93,8 @@
 	// rostered tells that the registered workers are known, and clear that every
 	// run of an earlier owner is accounted for.
 	rostered, clear bool
-	// releases are the workers to be emptied, with the steward's tasks, as of a
-	// revision of its plan.
-	releases map[string]int64
-	planRev  int64
-	released bool // a worker was emptied since the last digest
+	wishes          Wishes
+	released        bool // a worker was emptied since the last digest
 	// forecasts are the learnt run times, by queue.
 	forecasts map[string]*pack.Forecast
 }
@@ -124,10 +120,7 @@
 	changed  struct{ version *policy.Version }
 	appeared struct{ items []plat.Item }
 
-	releasing struct {
-		workers map[string]int64
-		rev     int64
-	}
+	releasing struct{ wishes Wishes }
 )
 
 // SetWorkers tells the owner which workers are registered in its pool.
@@ -136,8 +129,18 @@
 // SetPolicy tells the owner the configuration in force.
 func (o *Owner) SetPolicy(v *policy.Version) { o.post(changed{v}) }
 
-// SetReleases tells the owner which workers the steward wants emptied.
-func (o *Owner) SetReleases(workers map[string]int64, rev int64) { o.post(releasing{workers, rev}) }
+// Wishes are what the steward wants of a pool's workers.
+type Wishes struct {
+	// Release has the workers to be emptied, with the steward's tasks.
+	Release map[string]int64
+	// Due has the workers that will have to be emptied soon.
+	Due map[string]bool
+	// Rev is the revision of the steward's plan.
+	Rev int64
+}
+
+// SetWishes tells the owner what the steward wants of the pool's workers.
+func (o *Owner) SetWishes(w Wishes) { o.post(releasing{w}) }
 
 // post hands a message to the loop unless the owner has ended.
 func (o *Owner) post(m any) {
@@ -212,7 +215,7 @@
 			o.takeItem(it, true)
 		}
 	case releasing:
-		o.takeReleases(m)
+		o.takeWishes(m.wishes)
 	case started:
 		o.takeStarted(m)
 	case stopped:
@@ -228,7 +231,7 @@
 func (o *Owner) step(now time.Time) time.Duration {
 	o.expire(now)
 	o.leave(now)
-	o.emptyReleased()
+	o.emptyReleased(now)
 	next := tick
 	if o.dirty {
 		if wait := planEvery - now.Sub(o.planned); wait > 0 {
--- a/owner/release.go
+++ b/owner/release.go
@@ -1,23 +1,31 @@
 package owner
 
 import (
+	"time"
+
 	"shallotpaddle/steps"
 )
 
-// takeReleases takes in which workers the steward wants emptied.
-func (o *Owner) takeReleases(m releasing) {
-	if m.rev < o.planRev {
+// takeWishes takes in what the steward wants of the workers.
+func (o *Owner) takeWishes(w Wishes) {
+	if w.Rev < o.wishes.Rev {
 		return
 	}
-	o.planRev, o.releases = m.rev, m.workers
+	o.wishes = w
 	for _, h := range o.hosts {
-		task := m.workers[h.id]
+		task := w.Release[h.id]
 		if task == h.release {
 			continue
 		}
-		o.Log.Info().Str("pool", o.Pool).Str("host", h.id).Int64("task", task).Int("runs", len(h.runs)).Msg("release of worker changed")
+		o.Log.Info().Str("pool", o.Pool).Str("host", h.id).Int64("task", task).Int64("rev", w.Rev).
+			Int("runs", len(h.runs)).Msg("release of worker changed")
 		h.release = task
 		o.dirty, o.released = true, true
+		if task == 0 && h.failing.IsZero() {
+			// The task may have been carried out, which ends the worker's life: it
+			// must answer before it gets work again.
+			h.failing, h.nextLook = o.Clock.Now(), time.Time{}
+		}
 	}
 }
 
@@ -39,13 +47,13 @@
 
 // emptyReleased stops lasting subtasks on workers that are to be emptied, as
 // many at a time as their steps allow to be away. Others end by themselves.
-func (o *Owner) emptyReleased() {
+func (o *Owner) emptyReleased(now time.Time) {
 	for _, h := range o.hosts {
 		if h.release == 0 {
 			continue
 		}
 		for _, p := range h.runs {
-			if p.task.Step.Lasting && !p.stopping && p.task.Phase == steps.Running && mayStop(p.task) {
+			if p.task.Step.Lasting && !p.stopping && p.task.Phase == steps.Running && o.mayStop(p.task, now) {
 				o.stopRun(h, p, "worker is released")
 			}
 		}
@@ -54,12 +62,23 @@
 
 // mayStop tells whether a lasting subtask may be stopped without more of its
 // step being away than it allows.
-func mayStop(t *steps.Task) bool {
+func (o *Owner) mayStop(t *steps.Task, now time.Time) bool {
 	away := 0
 	for _, other := range t.Peers() {
-		if other != t && !other.AtWork() {
+		if other != t && !o.serves(other, now) {
 			away++
 		}
 	}
 	return away < max(t.Step.MayMiss, 1)
 }
+
+// freshReport is the age up to which a worker's report says what is at work;
+// looks that wait for an end answer within lookWait.
+const freshReport = lookWait + 500*time.Millisecond
+
+// serves tells whether a lasting subtask is known to be at work: a worker that
+// has gone silent may have taken it along.
+func (o *Owner) serves(t *steps.Task, now time.Time) bool {
+	h := o.hosts[t.Host]
+	return t.AtWork() && h != nil && h.failing.IsZero() && now.Sub(h.clockAt) < freshReport
+}
--- a/pack/pack.go
+++ b/pack/pack.go
@@ -15,6 +15,8 @@
 	Labels []string
 	Room   hosts.Room
 	Free   hosts.Room
+	// Due tells that the worker will have to be emptied soon.
+	Due bool
 	// Sick tells that subtasks lately failed there without end.
 	Sick bool
 }
@@ -79,6 +81,9 @@
 		c := used(h)
 		if w.Spread {
 			c += n * spreadWeight
+			if h.Due {
+				c += spreadWeight
+			}
 		}
 		if w.Rack != "" && !slices.Contains(h.Labels, w.Rack) {
 			c += remoteWeight
--- a/shift/shift.go
+++ b/shift/shift.go
@@ -18,6 +18,8 @@
 	Want int
 	// Floor is the fewest hosts that the pool's lasting work needs.
 	Floor int
+	// Reserve is the number of hosts that it needs besides.
+	Reserve int
 	// Hosts are those in the pool, without those that leave it.
 	Hosts []Host
 	// Coming is the number of hosts on their way into the pool.
@@ -31,8 +33,6 @@
 	CPU, Used int
 	// Lasting is the number of lasting subtasks on it.
 	Lasting int
-	// Fixed tells that the host can't be given away now.
-	Fixed bool
 }
 
 // Move is a host that changes its pool.
@@ -47,27 +47,52 @@
 	if p.Standby {
 		return 0
 	}
-	return max(p.Floor, int(math.Ceil(float64(p.Want)*headroom/float64(max(cpu, 1)))))
+	return max(p.Floor+p.Reserve, int(math.Ceil(float64(p.Want)*headroom/float64(max(cpu, 1)))))
 }
 
 // Moves returns the hosts that should change their pool.
 //
 // It answers queues that take turns: one pool is asked for several times its
 // mean while the others stand nearly idle. Hosts come from standby first, then
-// from the pools with the most to spare, idle ones before busy ones.
+// from the pools with the most to spare, idle ones before busy ones. Hosts that
+// come count against what a pool lacks, never as something that it can spare.
 func Moves(pools []Pool, cpu int) []Move {
-	type balance struct {
-		pool  *Pool
-		spare int // hosts above the need; negative if some are missing
+	givers, takers := balances(pools, cpu)
+	var out []Move
+	for _, t := range takers {
+		for _, g := range givers {
+			for _, h := range givable(g.pool) {
+				if t.lack <= 0 || g.spare <= 0 {
+					break
+				}
+				if taken(out, h.Name) {
+					continue
+				}
+				out = append(out, Move{h.Name, g.pool.Name, t.pool.Name})
+				t.lack--
+				g.spare--
+			}
+		}
 	}
-	var givers, takers []*balance
+	return out
+}
+
+// balance is what a pool has to spare or lacks.
+type balance struct {
+	pool        *Pool
+	spare, lack int
+}
+
+// balances returns the pools with hosts to spare, and those that lack some.
+func balances(pools []Pool, cpu int) (givers, takers []*balance) {
 	for i := range pools {
 		p := &pools[i]
-		b := &balance{p, len(p.Hosts) + p.Coming - Need(p, cpu)}
+		spare := len(p.Hosts) - Need(p, cpu)
+		b := &balance{p, spare, -spare - p.Coming}
 		switch {
 		case b.spare > 0:
 			givers = append(givers, b)
-		case b.spare < 0 && !p.Standby:
+		case b.lack > 0 && !p.Standby:
 			takers = append(takers, b)
 		}
 	}
@@ -80,24 +105,8 @@
 		}
 		return cmp.Compare(b.spare, a.spare)
 	})
-	slices.SortStableFunc(takers, func(a, b *balance) int { return cmp.Compare(a.spare, b.spare) })
-	var out []Move
-	for _, t := range takers {
-		for _, g := range givers {
-			for _, h := range givable(g.pool) {
-				if t.spare >= 0 || g.spare <= 0 {
-					break
-				}
-				if taken(out, h.Name) {
-					continue
-				}
-				out = append(out, Move{h.Name, g.pool.Name, t.pool.Name})
-				t.spare++
-				g.spare--
-			}
-		}
-	}
-	return out
+	slices.SortStableFunc(takers, func(a, b *balance) int { return cmp.Compare(b.lack, a.lack) })
+	return givers, takers
 }
 
 func taken(moves []Move, host string) bool {
@@ -106,7 +115,7 @@
 
 // givable returns the hosts that a pool may give away, the idlest first.
 func givable(p *Pool) []Host {
-	out := slices.DeleteFunc(slices.Clone(p.Hosts), func(h Host) bool { return h.Fixed || h.Lasting > 0 })
+	out := slices.DeleteFunc(slices.Clone(p.Hosts), func(h Host) bool { return h.Lasting > 0 })
 	slices.SortStableFunc(out, func(a, b Host) int { return cmp.Compare(a.Used, b.Used) })
 	return out
 }
@@ -119,29 +128,51 @@
 	Off bool
 }
 
-// Maintain returns the hosts that should be maintained next, at most room of them.
+// Limit is what the maintenance may take from a pool now.
+type Limit struct {
+	// Spare is the number of hosts beyond those that the lasting work needs.
+	Spare int
+	// Lasting is the number of hosts with lasting subtasks that may be emptied at
+	// once: their steps allow few to be away.
+	Lasting int
+}
+
+// Maintain returns the hosts that should be maintained next, at most room of
+// them, and takes them off the limits of their pools.
 //
 // It answers a wave that falls into a queue's turn: hosts on standby go first,
-// then idle ones; the share of the time that is left against the hosts that are
-// left says how many busy ones must go with them. Pace is that number.
-func Maintain(due []Due, room, pace int) []Due {
+// then idle ones; pace is the number of busy ones that must go now for the wave
+// to be in time.
+func Maintain(due []Due, room, pace int, limits map[string]*Limit) []Due {
 	due = slices.Clone(due)
 	slices.SortStableFunc(due, func(a, b Due) int {
 		return cmp.Or(cmp.Compare(cost(&a), cost(&b)), cmp.Compare(a.Name, b.Name))
 	})
 	var out []Due
 	for i := range due {
-		if len(out) >= room {
+		d := &due[i]
+		if len(out) >= room || cost(d) > 0 && len(out) >= pace {
 			break
 		}
-		if cost(&due[i]) > 0 && len(out) >= pace {
-			break
+		if d.Off || limits[d.Pool].take(d) {
+			out = append(out, *d)
 		}
-		out = append(out, due[i])
 	}
 	return out
 }
 
+// take tells whether a host may go, and takes it off the limit.
+func (l *Limit) take(d *Due) bool {
+	if l == nil || l.Spare <= 0 || d.Lasting > 0 && l.Lasting <= 0 {
+		return false
+	}
+	l.Spare--
+	if d.Lasting > 0 {
+		l.Lasting--
+	}
+	return true
+}
+
 // lastingCost is what a lasting subtask on a host counts, in thousandths of a core.
 const lastingCost = 100_000
 
--- a/shift/shift_test.go
+++ b/shift/shift_test.go
@@ -72,6 +72,8 @@
 	}
 }
 
+func open() map[string]*shift.Limit { return map[string]*shift.Limit{"": {Spare: 99, Lasting: 99}} }
+
 func TestMaintain(t *testing.T) {
 	due := func(used ...int) []shift.Due {
 		var out []shift.Due
@@ -93,7 +95,39 @@
 		{"more under way than allowed", due(0, 0), -1, 9, 0},
 		{"standby first", due(5, -1, 9), 1, 1, 1},
 	} {
-		require.Len(t, shift.Maintain(c.due, c.room, c.pace), c.want, c.name)
+		require.Len(t, shift.Maintain(c.due, c.room, c.pace, open()), c.want, c.name)
+	}
+	require.Equal(t, "1", shift.Maintain(due(5, -1, 9), 1, 1, open())[0].Name)
+}
+
+// TestMaintainKeepsLasting replays a wave over a whole pool: it never takes so
+// many hosts that lasting work has nowhere to go, nor two that hold some.
+func TestMaintainKeepsLasting(t *testing.T) {
+	var due []shift.Due
+	for i := range 8 {
+		d := shift.Due{Host: shift.Host{Name: fmt.Sprint(i)}, Pool: "a"}
+		if i < 5 {
+			d.Lasting = 1
+		}
+		due = append(due, d)
+	}
+	limits := map[string]*shift.Limit{"a": {Spare: 3, Lasting: 1}}
+	got := shift.Maintain(due, 10, 10, limits)
+	require.Len(t, got, 3, "five hosts are left for five lasting subtasks")
+	limits["a"] = &shift.Limit{Spare: 8, Lasting: 1}
+	holds := 0
+	for _, d := range shift.Maintain(due, 10, 10, limits) {
+		holds += d.Lasting
 	}
-	require.Equal(t, "1", shift.Maintain(due(5, -1, 9), 1, 1)[0].Name)
+	require.Equal(t, 1, holds, "one lasting subtask at a time")
+	require.Empty(t, shift.Maintain(due, 10, 10, map[string]*shift.Limit{"a": {Spare: 0, Lasting: 1}}))
+}
+
+// TestMovesDoNotCountOnHostsUnderMaintenance replays a takeover in a wave: half
+// a pool is in maintenance, and what is left is no surplus.
+func TestMovesDoNotCountOnHostsUnderMaintenance(t *testing.T) {
+	giver := pool("a", 4, 0, 0)
+	giver.Floor, giver.Coming = 3, 4
+	got := byRoute(shift.Moves([]shift.Pool{giver, pool("b", 1, 9*cpu, cpu)}, cpu))
+	require.Equal(t, map[string]int{"a>b": 1}, got)
 }
--- a/steward/plan.go
+++ b/steward/plan.go
@@ -1,5 +1,7 @@
 package steward
 
+import "shallotpaddle/owner"
+
 // Kind is what is to be done with a host.
 type Kind string
 
@@ -32,19 +34,25 @@
 	Tasks []Task
 	// Done has the hosts of each wave whose maintenance has begun.
 	Done map[string][]string `json:"done,omitempty"`
+	// Due has the workers whose maintenance is still to come: lasting work is
+	// better placed elsewhere.
+	Due []string `json:"due,omitempty"`
 	// Over has the waves that were reported as completed.
 	Over map[string]bool `json:"over,omitempty"`
 }
 
-// Releases returns the tasks of a pool's workers, by worker.
-func (p *Plan) Releases(pool string) map[string]int64 {
-	out := map[string]int64{}
+// Wishes returns what the plan of a revision wants of a pool's workers.
+func (p *Plan) Wishes(pool string, rev int64) owner.Wishes {
+	w := owner.Wishes{Release: map[string]int64{}, Due: map[string]bool{}, Rev: rev}
 	for _, t := range p.Tasks {
 		if t.From == pool && t.Worker != "" {
-			out[t.Worker] = t.ID
+			w.Release[t.Worker] = t.ID
 		}
 	}
-	return out
+	for _, d := range p.Due {
+		w.Due[d] = true
+	}
+	return w
 }
 
 // PlanPrefix is the prefix of the plan's key, which PlanKey is.
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -237,57 +237,76 @@
 // load returns a host's use as its pool's owner tells it.
 func (s *Steward) load(h *hosts.Host) owner.HostLoad { return s.digests[h.Pool].Hosts[h.Worker] }
 
-// move plans hosts into pools that ask for more than they hold.
-func (s *Steward) move() {
-	v := s.Policy()
+// pools returns the pools as the decisions see them, and the processor of the
+// largest host.
+func (s *Steward) pools() (map[string]*shift.Pool, int) {
+	out := map[string]*shift.Pool{}
 	cpu := 0
-	pools := make([]shift.Pool, 0, len(v.Pools))
-	for _, p := range v.Pools {
+	for _, p := range s.Policy().Pools {
 		d := s.digests[p.Name]
-		pools = append(pools, shift.Pool{Name: p.Name, Standby: p.Standby, Want: d.Want, Floor: max(d.Floor, 1)})
-	}
-	at := func(name string) *shift.Pool {
-		i := slices.IndexFunc(pools, func(p shift.Pool) bool { return p.Name == name })
-		if i < 0 {
-			return nil
-		}
-		return &pools[i]
+		out[p.Name] = &shift.Pool{Name: p.Name, Standby: p.Standby, Want: d.Want, Floor: max(d.Floor, 1)}
 	}
 	for i := range s.hosts {
 		h := &s.hosts[i]
 		cpu = max(cpu, h.Room.CPU)
-		p := at(h.Pool)
-		if p == nil || h.State == hosts.Down {
-			continue
-		}
-		if s.busy(h.Name) || h.State != hosts.Up {
+		p := out[h.Pool]
+		if p == nil || h.State != hosts.Up || s.busy(h.Name) || h.Worker == "" && !p.Standby {
 			continue
 		}
 		l := s.load(h)
-		p.Hosts = append(p.Hosts, shift.Host{
-			Name: h.Name, CPU: h.Room.CPU, Used: l.Used, Lasting: l.Lasting, Fixed: h.Worker == "" && !p.Standby,
-		})
+		p.Hosts = append(p.Hosts, shift.Host{Name: h.Name, CPU: h.Room.CPU, Used: l.Used, Lasting: l.Lasting})
 	}
 	for _, t := range s.plan.Tasks {
 		to := t.To
 		if t.Kind == Maintain {
 			to = t.From
 		}
-		if p := at(to); p != nil {
+		if p := out[to]; p != nil {
 			p.Coming++
 		}
 	}
+	return out, cpu
+}
+
+// move plans hosts into pools that ask for more than they hold.
+func (s *Steward) move() {
+	byName, cpu := s.pools()
+	for _, name := range s.plan.Due {
+		if p := byName[s.poolOf(name)]; p != nil {
+			p.Reserve = 1 // to empty the pool's hosts one after the other
+		}
+	}
+	pools := make([]shift.Pool, 0, len(byName))
+	for _, p := range s.Policy().Pools {
+		pools = append(pools, *byName[p.Name])
+	}
 	for _, m := range shift.Moves(pools, cpu) {
 		h := s.find(m.Host)
 		s.add(Task{Kind: Move, Host: m.Host, Worker: h.Worker, From: m.From, To: m.To})
 	}
 }
 
+// poolOf returns the pool of a worker, or nothing.
+func (s *Steward) poolOf(worker string) string {
+	for i := range s.hosts {
+		if s.hosts[i].Worker == worker {
+			return s.hosts[i].Pool
+		}
+	}
+	return ""
+}
+
 // waveMargin is kept free at the end of a wave.
 const waveMargin = 3 * time.Second
 
+// lastingAtOnce is the number of hosts with lasting work that are emptied at
+// once in a pool.
+const lastingAtOnce = 1
+
 // maintain plans the hosts that waves ask for.
 func (s *Steward) maintain(now time.Time) {
+	limits := s.limits()
+	var due []string
 	for _, w := range s.Waves() {
 		if s.plan.Over[w.Number] {
 			continue
@@ -297,19 +316,66 @@
 			s.puts = append(s.puts, s.Status(w.Wave, false))
 			s.dirty = true
 		}
-		s.maintainWave(&w, now)
+		due = append(due, s.maintainWave(&w, limits, now)...)
+	}
+	slices.Sort(due)
+	if !slices.Equal(due, s.plan.Due) {
+		s.plan.Due = due
+		s.dirty = true
 	}
 }
 
-func (s *Steward) maintainWave(w *Wave, now time.Time) {
-	var due []shift.Due
-	left, active := 0, 0
+// limits returns what the maintenance may take from each pool now.
+func (s *Steward) limits() map[string]*shift.Limit {
+	pools, _ := s.pools()
+	out := make(map[string]*shift.Limit, len(pools))
+	for name, p := range pools {
+		out[name] = &shift.Limit{Spare: len(p.Hosts) - p.Floor, Lasting: lastingAtOnce}
+	}
+	for i := range s.hosts {
+		h := &s.hosts[i]
+		if l := out[h.Pool]; l != nil && s.busy(h.Name) && s.load(h).Lasting > 0 {
+			l.Lasting--
+		}
+	}
+	return out
+}
+
+// maintainWave plans the next hosts of a wave and returns the workers whose
+// maintenance is still to come.
+func (s *Steward) maintainWave(w *Wave, limits map[string]*shift.Limit, now time.Time) []string {
+	active := 0
 	for _, t := range s.plan.Tasks {
 		if t.Wave == w.Number {
 			active++
 		}
 	}
-	v := s.Policy()
+	due, left := s.due(w)
+	if left == 0 && active == 0 {
+		s.plan.Over[w.Number] = true
+		s.puts = append(s.puts, s.Status(w.Wave, true))
+		s.dirty = true
+		s.Log.Info().Str("wave", w.Number).Msg("wave completed")
+		return nil
+	}
+	for _, d := range shift.Maintain(due, w.Most-active, s.pace(w, left, now)-active, limits) {
+		h := s.find(d.Name)
+		s.add(Task{Kind: Maintain, Host: d.Name, Worker: h.Worker, From: h.Pool, Wave: w.Number})
+	}
+	var workers []string
+	for _, d := range due {
+		if h := s.find(d.Name); h.Worker != "" {
+			workers = append(workers, h.Worker)
+		}
+	}
+	return workers
+}
+
+// due returns the hosts of a wave that can be maintained now, and how many are
+// left in all.
+func (s *Steward) due(w *Wave) ([]shift.Due, int) {
+	var due []shift.Due
+	left := 0
 	for _, name := range w.Hosts {
 		h := s.find(name)
 		if h == nil || slices.Contains(s.plan.Done[w.Number], name) {
@@ -320,21 +386,13 @@
 			continue
 		}
 		l := s.load(h)
-		p, ok := v.Pool(h.Pool)
-		off := ok && p.Standby || h.Worker == ""
-		due = append(due, shift.Due{Host: shift.Host{Name: name, CPU: h.Room.CPU, Used: l.Used, Lasting: l.Lasting}, Pool: h.Pool, Off: off})
-	}
-	if left == 0 && active == 0 {
-		s.plan.Over[w.Number] = true
-		s.puts = append(s.puts, s.Status(w.Wave, true))
-		s.dirty = true
-		s.Log.Info().Str("wave", w.Number).Msg("wave completed")
-		return
-	}
-	for _, d := range shift.Maintain(due, w.Most-active, s.pace(w, left, now)-active) {
-		h := s.find(d.Name)
-		s.add(Task{Kind: Maintain, Host: d.Name, Worker: h.Worker, From: h.Pool, Wave: w.Number})
+		p, ok := s.Policy().Pool(h.Pool)
+		due = append(due, shift.Due{
+			Host: shift.Host{Name: name, CPU: h.Room.CPU, Used: l.Used, Lasting: l.Lasting},
+			Pool: h.Pool, Off: ok && p.Standby || h.Worker == "",
+		})
 	}
+	return due, left
 }
 
 // pace returns how many hosts must be under way to be in time.
