owner: bound what an unanswered call may delay; add a model of owners and workers

Change: a worker that does not answer gets no longer lease; a plan is made at least every 200 ms while jobs are open; orders that were not answered are refused by the next incarnation before it gets work. fakes.KV and fakes.Crew stand in for the store and the workers in virtual time; owner.TestModel plays owners, workers and store against each other.

--- /dev/null
+++ b/fakes/crew.go
@@ -0,0 +1,505 @@
+package fakes
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"shallotpaddle/hosts"
+	"shallotpaddle/plat"
+	"shallotpaddle/runs"
+	"shallotpaddle/steps"
+)
+
+// Crew is a set of in-memory workers that run subtasks on orders, hold leases,
+// refuse lower fencing tokens, and check the promises that are made to them.
+// Times are those of package time, so that it runs in a synctest bubble.
+type Crew struct {
+	// Length decides how long a run takes and how it ends.
+	Length func(t runs.Task, run int) (time.Duration, runs.How)
+	// Trouble decides what becomes of an order; nil is Smooth.
+	Trouble func(worker string, op string) Trouble
+	// HoldMax is the longest lease.
+	HoldMax time.Duration
+
+	mu      sync.Mutex
+	workers map[string]*Worked
+	jobs    map[string]*steps.Job
+	ended   map[runs.Task]bool // ended done, and somebody has read so
+	done    map[runs.Task]bool // ended done, and taken note of
+	failed  map[runs.Task]int
+	cancels map[string]time.Time
+	faults  []string
+	starts  int
+}
+
+// Worked is one worker of a Crew.
+type Worked struct {
+	hosts.Worker
+	up      bool
+	cut     bool // calls get no answer, runs go on
+	fence   int64
+	epoch   time.Time // zero of its clock
+	until   time.Time
+	lapse   *time.Timer
+	running map[runs.Task]*worked
+	barred  map[runs.Task]int // highest run that ended or was stopped
+	ends    []runs.End
+	count   int64
+	used    hosts.Room
+	changed chan struct{}
+}
+
+// worked is a run on a worker.
+type worked struct {
+	run   int
+	step  *steps.Step
+	timer *time.Timer
+	since time.Time
+}
+
+// Times of workers.
+const (
+	crewLatency = time.Millisecond
+	crewTimeout = 700 * time.Millisecond
+	crewDelay   = 3 * time.Second
+	crewStartup = 300 * time.Millisecond // of lasting subtasks
+	crewStop    = 100 * time.Millisecond
+)
+
+// NewCrew returns a crew without workers.
+func NewCrew(holdMax time.Duration) *Crew {
+	return &Crew{
+		HoldMax: holdMax, workers: map[string]*Worked{}, jobs: map[string]*steps.Job{}, done: map[runs.Task]bool{},
+		ended: map[runs.Task]bool{}, failed: map[runs.Task]int{}, cancels: map[string]time.Time{},
+	}
+}
+
+// Join adds a worker, or a new incarnation of one.
+func (c *Crew) Join(w hosts.Worker) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	w.Born = now.UnixMilli()
+	c.workers[w.ID] = &Worked{
+		Worker: w, up: true, epoch: now.Add(-time.Minute), running: map[runs.Task]*worked{}, barred: map[runs.Task]int{},
+		changed: make(chan struct{}),
+	}
+}
+
+// Crash ends a worker's life; all that runs there ends unseen.
+func (c *Crew) Crash(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := c.workers[id]
+	w.up = false
+	for t, r := range w.running {
+		r.timer.Stop()
+		delete(w.running, t)
+	}
+}
+
+// Cut makes a worker unreachable while its runs go on.
+func (c *Crew) Cut(id string, cut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.workers[id].cut = cut
+}
+
+// Drain marks a worker as leaving.
+func (c *Crew) Drain(id string, left time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.workers[id].Draining, c.workers[id].Left = true, left
+}
+
+// Ask makes a job known to the checks.
+func (c *Crew) Ask(j *steps.Job) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.jobs[j.ID] = j
+}
+
+// Cancelled makes a cancellation known to the checks.
+func (c *Crew) Cancelled(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cancels[id] = time.Now()
+}
+
+// Registered returns the workers that the platform would list.
+func (c *Crew) Registered() []hosts.Worker {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []hosts.Worker
+	for _, id := range slices.Sorted(maps.Keys(c.workers)) {
+		if w := c.workers[id]; w.up {
+			out = append(out, w.Worker)
+		}
+	}
+	return out
+}
+
+// Faults returns the promises that were broken.
+func (c *Crew) Faults() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.faults)
+}
+
+// Starts returns the number of runs that began.
+func (c *Crew) Starts() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.starts
+}
+
+// Running returns the runs at work, by subtask.
+func (c *Crew) Running() map[runs.Task]string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := map[runs.Task]string{}
+	for id, w := range c.workers {
+		for t := range w.running {
+			out[t] = id
+		}
+	}
+	return out
+}
+
+// Fault notes a promise that a test found broken.
+func (c *Crew) fault(format string, args ...any) {
+	c.faults = append(c.faults, fmt.Sprintf(format, args...))
+}
+
+// call makes one call to a worker.
+func (c *Crew) call(ctx context.Context, to runs.Target, op string, do func(w *Worked) error) error {
+	trouble := Smooth
+	if c.Trouble != nil {
+		trouble = c.Trouble(to.ID, op)
+	}
+	out := plat.ErrUnknown // unless it gets there
+	act := func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if w := c.workers[to.ID]; w != nil && w.up && !w.cut {
+			out = do(w)
+		}
+	}
+	c.mu.Lock()
+	w := c.workers[to.ID]
+	reach := w != nil && w.up && !w.cut
+	c.mu.Unlock()
+	switch {
+	case w != nil && !w.up:
+		return errAfter(ctx, crewLatency, plat.ErrUnavailable) // refused
+	case !reach, trouble == Swallow:
+		return errAfter(ctx, crewTimeout, plat.ErrUnknown)
+	case trouble == Refuse:
+		return errAfter(ctx, crewLatency, plat.ErrUnavailable)
+	case trouble == Lose:
+		act()
+		return errAfter(ctx, crewTimeout, plat.ErrUnknown)
+	case trouble == Delay:
+		// Whoever ordered it may be gone by then; an incarnation that is gone
+		// carries out nothing.
+		time.AfterFunc(crewDelay, func() { c.onlyBy(w, act) })
+		return errAfter(ctx, crewTimeout, plat.ErrUnknown)
+	}
+	// An order that is on its way arrives even if its sender ends.
+	time.Sleep(crewLatency)
+	act()
+	if err := ctx.Err(); err != nil {
+		return fmt.Errorf("%w: %w", plat.ErrUnknown, err)
+	}
+	return out
+}
+
+// onlyBy carries out a late order if the incarnation that received it lives.
+func (c *Crew) onlyBy(w *Worked, act func()) {
+	c.mu.Lock()
+	same := c.workers[w.ID] == w
+	c.mu.Unlock()
+	if same {
+		act()
+	}
+}
+
+func (w *Worked) clock() int64 { return time.Since(w.epoch).Milliseconds() }
+
+func (w *Worked) reply() runs.Reply { return runs.Reply{Clock: w.clock(), Born: w.Born} }
+
+// hear takes in a fencing token.
+func (w *Worked) hear(fence int64) error {
+	if fence < w.fence {
+		return runs.ErrFence
+	}
+	w.fence = fence
+	return nil
+}
+
+// extend takes in a lease.
+func (c *Crew) extend(w *Worked, until int64) {
+	end := w.epoch.Add(time.Duration(until) * time.Millisecond)
+	if longest := time.Now().Add(c.HoldMax); end.After(longest) {
+		end = longest
+	}
+	if !end.After(w.until) {
+		return
+	}
+	w.until = end
+	if w.lapse != nil {
+		w.lapse.Stop()
+	}
+	w.lapse = time.AfterFunc(time.Until(end), func() { c.lapsed(w) })
+}
+
+func (c *Crew) lapsed(w *Worked) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for t, r := range w.running {
+		if !time.Now().Before(w.until) {
+			c.end(w, t, r, runs.Lapsed)
+		}
+	}
+}
+
+// end ends a run and lists its end.
+func (c *Crew) end(w *Worked, t runs.Task, r *worked, how runs.How) {
+	if w.running[t] != r {
+		return
+	}
+	r.timer.Stop()
+	delete(w.running, t)
+	w.barred[t] = max(w.barred[t], r.run)
+	if !r.step.Fills {
+		w.used.CPU -= r.step.CPU
+	}
+	w.used.Mem -= r.step.Mem
+	w.count++
+	w.ends = append(w.ends, runs.End{Number: w.count, Task: t, Run: r.run, How: how})
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// Start begins a run.
+func (c *Crew) Start(ctx context.Context, to runs.Target, s runs.Start) (r runs.Reply, err error) {
+	err = c.call(ctx, to, "start", func(w *Worked) error {
+		r = w.reply()
+		return c.start(w, s)
+	})
+	return r, err
+}
+
+func (c *Crew) start(w *Worked, s runs.Start) error {
+	if err := w.hear(s.Fence); err != nil {
+		return err
+	}
+	if s.Until <= w.clock() {
+		return runs.ErrLate
+	}
+	c.extend(w, s.Until)
+	if r := w.running[s.Task]; r != nil && r.run == s.Run {
+		return nil
+	}
+	if s.Run <= w.barred[s.Task] || w.running[s.Task] != nil {
+		return runs.ErrOld
+	}
+	j := c.jobs[s.Task.Job]
+	if j == nil {
+		c.fault("UNASKED %s", s.Task)
+		return nil
+	}
+	step := &j.Steps[s.Task.Step]
+	c.check(w, s, j, step)
+	c.starts++
+	length, how := c.Length(s.Task, s.Run)
+	r := &worked{run: s.Run, step: step, since: time.Now()}
+	r.timer = time.AfterFunc(length, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.end(w, s.Task, r, how)
+		if step.Gang {
+			c.endGang(s.Task, s.Run, how)
+		}
+	})
+	if step.Lasting {
+		r.timer.Stop()
+	}
+	w.running[s.Task] = r
+	if !step.Fills {
+		w.used.CPU += step.CPU
+	}
+	w.used.Mem += step.Mem
+	return nil
+}
+
+// endGang ends the other members of a gang together with one.
+func (c *Crew) endGang(one runs.Task, run int, how runs.How) {
+	if how != runs.Done {
+		how = runs.Broken
+	}
+	for _, w := range c.workers {
+		for t, r := range w.running {
+			if t.Job == one.Job && t.Occur == one.Occur && t.Step == one.Step && r.run == run {
+				c.end(w, t, r, how)
+			}
+		}
+	}
+}
+
+// check holds a start against what was promised.
+func (c *Crew) check(w *Worked, s runs.Start, j *steps.Job, step *steps.Step) {
+	for id, o := range c.workers {
+		if r := o.running[s.Task]; r != nil && o.up {
+			c.fault("TWICE %s run %d on %s while run %d is on %s", s.Task, s.Run, w.ID, r.run, id)
+		}
+	}
+	if c.done[s.Task] {
+		c.fault("TWICE %s run %d on %s after its end", s.Task, s.Run, w.ID)
+	}
+	if !step.Fills && w.used.CPU+step.CPU > w.Room.CPU || w.used.Mem+step.Mem > w.Room.Mem {
+		c.fault("LIMIT %s on %s", s.Task, w.ID)
+	}
+	for _, a := range step.After {
+		if !c.stepEnded(j, s.Task.Occur, a) {
+			c.fault("ORDER %s before step %d", s.Task, a)
+		}
+	}
+	if time.Now().Before(j.Due(s.Task.Occur).Add(-early)) {
+		c.fault("ORDER %s before its time", s.Task)
+	}
+	same := 0
+	for t := range w.running {
+		if t.Job == s.Task.Job && t.Step == s.Task.Step && t.Occur == s.Task.Occur {
+			same++
+		}
+	}
+	if step.PerHost > 0 && same >= step.PerHost {
+		c.fault("ROUTE %s beyond the limit of one worker", s.Task)
+	}
+	if !step.Lasting && j.Tries > 0 && c.failed[s.Task] >= j.Tries {
+		c.fault("BUDGET %s", s.Task)
+	}
+	if at, ok := c.cancels[j.ID]; ok && time.Since(at) > cancelBound {
+		c.fault("UNASKED %s after its cancellation", s.Task)
+	}
+}
+
+// stepEnded tells whether every subtask of a step has ended done; one end
+// stands for all of a gang.
+func (c *Crew) stepEnded(j *steps.Job, occur, step int) bool {
+	n := 0
+	for i := range j.Steps[step].Count {
+		if c.ended[runs.Task{Job: j.ID, Occur: occur, Step: step, Index: i}] {
+			n++
+		}
+	}
+	return n == j.Steps[step].Count || n > 0 && j.Steps[step].Gang
+}
+
+// Bounds of the checks.
+const (
+	early       = 250 * time.Millisecond
+	cancelBound = 3 * time.Second
+)
+
+// Stop ends a run and bars it.
+func (c *Crew) Stop(ctx context.Context, to runs.Target, s runs.Stop) (r runs.Reply, err error) {
+	err = c.call(ctx, to, "stop", func(w *Worked) error {
+		r = w.reply()
+		if err := w.hear(s.Fence); err != nil {
+			return err
+		}
+		w.barred[s.Task] = max(w.barred[s.Task], s.Run)
+		if run := w.running[s.Task]; run != nil && run.run == s.Run {
+			time.AfterFunc(crewStop, func() {
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				c.end(w, s.Task, run, runs.Stopped)
+			})
+		}
+		return nil
+	})
+	return r, err
+}
+
+// Pace does nothing but hear the token.
+func (c *Crew) Pace(ctx context.Context, to runs.Target, p runs.Pace) (r runs.Reply, err error) {
+	err = c.call(ctx, to, "pace", func(w *Worked) error {
+		r = w.reply()
+		return w.hear(p.Fence)
+	})
+	return r, err
+}
+
+// Renew extends the lease, forgets ends and reports.
+func (c *Crew) Renew(ctx context.Context, to runs.Target, n runs.Renew) (out runs.Report, err error) {
+	wait := time.After(time.Duration(n.Wait) * time.Millisecond)
+	for first := true; ; first = false {
+		var changed chan struct{}
+		err = c.call(ctx, to, "renew", func(w *Worked) error {
+			if err := w.hear(n.Fence); err != nil {
+				return err
+			}
+			if first {
+				c.forget(w, n.Noted)
+				if n.Until > w.clock() {
+					c.extend(w, n.Until)
+				}
+			}
+			out, changed = c.report(w), w.changed
+			return nil
+		})
+		if err != nil || n.Wait == 0 || len(out.Ended) > 0 || changed == nil {
+			return out, err
+		}
+		select {
+		case <-changed:
+		case <-wait:
+			return out, nil
+		case <-ctx.Done():
+			return out, fmt.Errorf("%w: %w", plat.ErrUnknown, ctx.Err())
+		}
+	}
+}
+
+// forget drops the ends up to a number: they are taken note of.
+func (c *Crew) forget(w *Worked, noted int64) {
+	w.ends = slices.DeleteFunc(w.ends, func(e runs.End) bool {
+		if e.Number > noted {
+			return false
+		}
+		c.note(e)
+		return true
+	})
+}
+
+func (c *Crew) note(e runs.End) {
+	switch e.How {
+	case runs.Done:
+		c.done[e.Task] = true
+	case runs.Failed:
+		c.failed[e.Task]++
+	}
+}
+
+func (c *Crew) report(w *Worked) runs.Report {
+	r := runs.Report{Reply: w.reply(), Ended: slices.Clone(w.ends)}
+	for t, v := range w.running {
+		percent := 50
+		if v.step.Lasting && time.Since(v.since) >= crewStartup {
+			percent = 100
+		}
+		r.Running = append(r.Running, runs.Running{Task: t, Run: v.run, Percent: percent})
+	}
+	for _, e := range w.ends {
+		if e.How == runs.Done {
+			c.ended[e.Task] = true
+		}
+	}
+	return r
+}
--- a/owner/act.go
+++ b/owner/act.go
@@ -274,6 +274,7 @@
 // end stops the run, which bars the order where it is still on its way.
 func (o *Owner) startUnanswered(h *host, p *placement, err error, now time.Time) {
 	o.Stats.Unanswered.Inc(1)
+	o.remember(h, p, now)
 	o.Log.Warn().Str("task", p.task.ID.String()).Int("run", p.run).Str("host", h.id).Int("tries", p.tries).
 		Err(err).Msg("start not answered")
 	if p.tries >= stopAfter && !p.stopping {
--- a/owner/host.go
+++ b/owner/host.go
@@ -198,6 +198,7 @@
 		h = newHost(w)
 		h.release = o.wishes.Release[w.ID]
 		o.hosts[w.ID] = h
+		o.barGhosts(h)
 		o.touch(o.roster)
 		h.recorded = o.roster.version
 		o.Log.Info().Str("pool", o.Pool).Str("host", w.ID).Str("address", w.Address).Int64("born", w.Born).
@@ -222,6 +223,9 @@
 		Str("cause", why).Msg("worker's life is over")
 	for _, p := range h.runs {
 		o.release(h, p)
+		if p.confirmed.IsZero() {
+			o.haunt(h, p)
+		}
 		if p.task.Host == h.id && p.task.Run == p.run && p.task.Phase != steps.Finished {
 			p.task.Phase, p.task.Host = steps.Waiting, ""
 		}
@@ -324,7 +328,9 @@
 func (o *Owner) lookAt(h *host, now time.Time) {
 	h.looking = true
 	n := runs.Renew{Fence: o.Fence, Noted: h.note}
-	if h.answered && len(h.runs) > 0 {
+	if h.answered && h.failing.IsZero() && len(h.runs) > 0 {
+		// A worker that does not answer gets no longer lease, or its end would
+		// move away with each look.
 		n.Until = h.now(now) + o.lease().Milliseconds()
 	}
 	if h.failing.IsZero() && h.answered && len(h.runs) > 0 && len(h.ends) == 0 {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -95,6 +95,8 @@
 	rostered, clear bool
 	wishes          Wishes
 	released        bool // a worker was emptied since the last digest
+	// ghosts are starts that may still be carried out, by worker.
+	ghosts map[string][]ghost
 	// forecasts are the learnt run times, by queue.
 	forecasts map[string]*pack.Forecast
 }
@@ -107,7 +109,7 @@
 func New(p Params) *Owner {
 	o := &Owner{
 		Params: p, in: make(chan any, mailbox), done: make(chan struct{}), hosts: map[string]*host{}, jobs: map[string]*job{},
-		cancels: map[string]struct{}{}, forecasts: map[string]*pack.Forecast{},
+		cancels: map[string]struct{}{}, forecasts: map[string]*pack.Forecast{}, ghosts: map[string][]ghost{},
 	}
 	o.roster = &doc{key: rosterKey(p.Pool), encode: o.encodeRoster}
 	o.digest = &doc{key: DigestKey(p.Pool), encode: o.encodeDigest}
@@ -157,6 +159,9 @@
 	// planEvery is the shortest pause between two plans: ends that come close
 	// together are answered by one.
 	planEvery = 5 * time.Millisecond
+	// planAnyway is the longest pause between two plans while jobs are open: what
+	// bars a start may end by time alone.
+	planAnyway = 200 * time.Millisecond
 	// recoverRetry is the pause before another try to read the pool's state.
 	recoverRetry = 100 * time.Millisecond
 )
@@ -220,6 +225,8 @@
 		o.takeStarted(m)
 	case stopped:
 		o.takeStopped(m)
+	case barred:
+		o.takeBarred(m)
 	case looked:
 		o.takeLook(m)
 	case committed:
@@ -233,6 +240,9 @@
 	o.leave(now)
 	o.emptyReleased(now)
 	next := tick
+	if len(o.open) > 0 && now.Sub(o.planned) >= planAnyway {
+		o.dirty = true
+	}
 	if o.dirty {
 		if wait := planEvery - now.Sub(o.planned); wait > 0 {
 			next = wait
--- /dev/null
+++ b/owner/util_test.go
@@ -0,0 +1,44 @@
+package owner_test
+
+import (
+	"encoding/json"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+
+	"shallotpaddle/fakes"
+)
+
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+
+// leaseOf returns the lease in a leader's key.
+func leaseOf(value []byte) int64 {
+	var h struct {
+		Lease int64 `json:"lease"`
+	}
+	if err := json.Unmarshal(value, &h); err != nil {
+		return 0
+	}
+	return h.Lease
+}
+
+// locked is a source of random numbers for several goroutines.
+type locked struct {
+	mu   sync.Mutex
+	rand *rand.Rand
+}
+
+func newLocked(seed, stream uint64) *locked {
+	return &locked{rand: rand.New(rand.NewPCG(seed, 100+stream))}
+}
+
+// pick returns a trouble once in so many calls.
+func (l *locked) pick(every int) fakes.Trouble {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.rand.IntN(every) > 0 {
+		return fakes.Smooth
+	}
+	return []fakes.Trouble{fakes.Refuse, fakes.Swallow, fakes.Lose, fakes.Delay}[l.rand.IntN(4)]
+}
--- /dev/null
+++ b/owner/world_test.go
@@ -0,0 +1,280 @@
+package owner_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/coder/quartz"
+	"github.com/phuslu/log"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"shallotpaddle/elect"
+	"shallotpaddle/fakes"
+	"shallotpaddle/hosts"
+	"shallotpaddle/owner"
+	"shallotpaddle/plat"
+	"shallotpaddle/runs"
+	"shallotpaddle/steps"
+)
+
+const (
+	poolName = "a"
+	holdMax  = 10 * time.Second
+)
+
+// world is a pool on stand-ins, with entries that are elected to own it. It runs
+// in a synctest bubble.
+type world struct {
+	t    *testing.T
+	rand *rand.Rand
+	kv   *fakes.KV
+	crew *fakes.Crew
+	log  *log.Logger
+	// commit and start replace the calls of owners, to leave out a safeguard.
+	commit func(ctx context.Context, t plat.Txn) (int64, []plat.Item, error)
+	start  func(ctx context.Context, to runs.Target, s runs.Start) (runs.Reply, error)
+
+	mu      sync.Mutex
+	entries map[string]*entry
+	count   int
+	wishes  owner.Wishes
+	jobs    []*steps.Job
+	cancels map[string]bool
+}
+
+// entry is one process that takes part in the pool's election.
+type entry struct {
+	name  string
+	stop  context.CancelFunc
+	elect *elect.Elector
+	owner *owner.Owner // nil unless elected
+	end   context.CancelFunc
+	// frozen holds its messages back; an owner that is cut from the store is one
+	// whose calls there fail.
+	cut bool
+}
+
+func newWorld(t *testing.T, seed uint64) *world {
+	w := &world{
+		t: t, rand: rand.New(rand.NewPCG(seed, 7)), kv: fakes.NewKV(), crew: fakes.NewCrew(holdMax),
+		entries: map[string]*entry{}, cancels: map[string]bool{},
+		log: &log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: io.Discard}},
+	}
+	if os.Getenv("MODEL_LOG") != "" {
+		w.log.Writer = log.IOWriter{Writer: os.Stderr}
+	}
+	w.commit, w.start = w.kv.Commit, w.crew.Start
+	lengths := rand.New(rand.NewPCG(seed, 8))
+	var mu sync.Mutex
+	w.crew.Length = func(id runs.Task, _ int) (time.Duration, runs.How) {
+		mu.Lock()
+		defer mu.Unlock()
+		how := runs.Done
+		if lengths.IntN(50) == 0 {
+			how = runs.Failed
+		}
+		return time.Duration(200+lengths.IntN(1500)) * time.Millisecond, how
+	}
+	return w
+}
+
+// join adds workers.
+func (w *world) join(n int) {
+	for range n {
+		w.count++
+		w.crew.Join(hosts.Worker{
+			ID: fmt.Sprintf("i-%d", w.count), Pool: poolName, Address: fmt.Sprintf("10.0.0.%d:80", w.count),
+			Room: hosts.Room{CPU: 8000, Mem: 8000}, Labels: []string{"a", fmt.Sprintf("r%d", w.count%3)},
+		})
+	}
+}
+
+// enter starts an entry.
+func (w *world) enter(ctx context.Context, name string) {
+	ctx, stop := context.WithCancel(ctx)
+	e := &entry{name: name, stop: stop}
+	cutOr := func(err error) error {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if e.cut {
+			return plat.ErrUnknown
+		}
+		return err
+	}
+	pause := func(ctx context.Context) {
+		select {
+		case <-time.After(time.Second):
+		case <-ctx.Done():
+		}
+	}
+	store := elect.Store{
+		List: func(ctx context.Context, p string) ([]plat.Item, int64, error) {
+			if err := cutOr(nil); err != nil {
+				pause(ctx)
+				return nil, 0, err
+			}
+			return w.kv.List(ctx, p)
+		},
+		Watch: func(ctx context.Context, p string, after int64, wait time.Duration) ([]plat.Item, int64, error) {
+			if err := cutOr(nil); err != nil {
+				pause(ctx)
+				return nil, 0, err
+			}
+			items, rev, err := w.kv.Watch(ctx, p, after, wait)
+			if cut := cutOr(nil); cut != nil {
+				return nil, 0, cut
+			}
+			return items, rev, err
+		},
+		Commit: func(ctx context.Context, t plat.Txn) (int64, []plat.Item, error) {
+			if err := cutOr(nil); err != nil {
+				pause(ctx)
+				return 0, nil, err
+			}
+			return w.commit(ctx, t)
+		},
+		Get: w.kv.Get, Grant: w.kv.Grant,
+		Renew: func(ctx context.Context, id int64) error {
+			if err := cutOr(nil); err != nil {
+				pause(ctx)
+				return err
+			}
+			return w.kv.Renew(ctx, id)
+		},
+		Revoke: w.kv.Revoke,
+	}
+	e.elect = elect.New(elect.Params{
+		Name: name, Store: store, Clock: quartz.NewReal(), Log: w.log, TTL: 1500 * time.Millisecond,
+		Won:  func(t elect.Term) { w.won(ctx, e, t, store) },
+		Lost: func(elect.Term, string) { w.lost(e) },
+	})
+	w.mu.Lock()
+	w.entries[name] = e
+	w.mu.Unlock()
+	go e.elect.Run(ctx)
+	e.elect.SetPools([]string{poolName})
+}
+
+func (w *world) won(ctx context.Context, e *entry, t elect.Term, store elect.Store) {
+	run, end := context.WithCancel(ctx)
+	o := owner.New(owner.Params{
+		Pool: poolName, Lead: elect.LeadKey(poolName), Fence: t.Fence, Term: t.Number,
+		Bounds:  owner.Bounds{HoldMax: holdMax, Drain: 2 * time.Second, Keep: time.Hour},
+		Store:   owner.Store{List: store.List, Watch: store.Watch, Commit: store.Commit},
+		Workers: owner.Workers{Start: w.start, Stop: w.crew.Stop, Pace: w.crew.Pace, Renew: w.crew.Renew},
+		Wishes: func(context.Context) (owner.Wishes, error) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			return w.wishes, nil
+		},
+		Clock: quartz.NewReal(), Log: w.log, Stats: owner.NewStats(metrics.NewRegistry()),
+	})
+	w.mu.Lock()
+	e.owner, e.end = o, end
+	w.mu.Unlock()
+	go func() {
+		if err := o.Run(run); err == owner.ErrDeposed {
+			e.elect.GiveUp(poolName)
+		}
+	}()
+	go func() {
+		for run.Err() == nil {
+			o.SetWorkers(w.crew.Registered())
+			select {
+			case <-time.After(700 * time.Millisecond):
+			case <-run.Done():
+			}
+		}
+	}()
+}
+
+func (w *world) lost(e *entry) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if e.end != nil {
+		e.end()
+	}
+	e.owner = nil
+}
+
+// leader returns the entry that owns the pool, or nil.
+func (w *world) leader() *entry {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, e := range w.entries {
+		if e.owner != nil {
+			return e
+		}
+	}
+	return nil
+}
+
+// kill ends an entry at once and starts another in its place.
+func (w *world) kill(ctx context.Context, e *entry) {
+	e.stop()
+	w.mu.Lock()
+	delete(w.entries, e.name)
+	w.count++
+	name := fmt.Sprintf("e-%d", w.count)
+	w.mu.Unlock()
+	w.enter(ctx, name)
+}
+
+// submit stores a job as an entry does.
+func (w *world) submit(j *steps.Job) {
+	w.mu.Lock()
+	w.jobs = append(w.jobs, j)
+	w.mu.Unlock()
+	j.Accepted = time.Now().UnixMilli()
+	w.crew.Ask(j)
+	b, err := json.Marshal(j)
+	require.NoError(w.t, err)
+	w.kv.Put(owner.JobKey(poolName, j.ID), b)
+}
+
+func (w *world) cancel(id string) {
+	w.mu.Lock()
+	w.cancels[id] = true
+	w.mu.Unlock()
+	w.kv.Put(owner.CancelKey(poolName, id), []byte(`{}`))
+	w.crew.Cancelled(id)
+}
+
+// job returns a random job.
+func (w *world) job() *steps.Job {
+	r := w.rand
+	j := &steps.Job{ID: fmt.Sprintf("%016x", r.Uint64()), Queue: "q", Tries: 3, Slack: 1.6, Target: 600}
+	for s := range 1 + r.IntN(3) {
+		step := steps.Step{Count: 1 + r.IntN(5), CPU: 500 + r.IntN(2500), Mem: r.IntN(1000), Estimate: int64(200 + r.IntN(2000))}
+		if s > 0 && r.IntN(3) > 0 {
+			step.After = []int{r.IntN(s)}
+		}
+		switch r.IntN(8) {
+		case 0:
+			step.PerHost = 1 + r.IntN(2)
+		case 1:
+			step.Gang = true
+			step.CPU = 500
+		}
+		j.Steps = append(j.Steps, step)
+	}
+	return j
+}
+
+// state returns the recorded state of a job.
+func (w *world) state(id string) steps.Record {
+	it, ok := w.kv.Peek(owner.StateKey(poolName, id))
+	var r steps.Record
+	if ok {
+		require.NoError(w.t, json.Unmarshal(it.Value, &r))
+	}
+	return r
+}
