owner: keep ends of a reborn worker from being forgotten unread

Ruled out: a write that was lost (the check that an end is noted only when recorded, new in the model, shows the end was never seen). Change: such looks acknowledge nothing.

--- a/fakes/crew.go
+++ b/fakes/crew.go
@@ -22,6 +22,9 @@
 	Length func(t runs.Task, run int) (time.Duration, runs.How)
 	// Trouble decides what becomes of an order; nil is Smooth.
 	Trouble func(worker string, op string) Trouble
+	// Noted is called for each end that a worker is told to forget, unless nil;
+	// what it returns is a broken promise.
+	Noted func(e runs.End) string
 	// HoldMax is the longest lease.
 	HoldMax time.Duration
 
@@ -479,6 +482,11 @@
 }
 
 func (c *Crew) note(e runs.End) {
+	if c.Noted != nil {
+		if fault := c.Noted(e); fault != "" {
+			c.fault("%s", fault)
+		}
+	}
 	switch e.How {
 	case runs.Done:
 		c.done[e.Task] = true
--- a/owner/host.go
+++ b/owner/host.go
@@ -327,7 +327,12 @@
 
 func (o *Owner) lookAt(h *host, now time.Time) {
 	h.looking = true
-	n := runs.Renew{Fence: o.Fence, Noted: h.note}
+	n := runs.Renew{Fence: o.Fence}
+	if h.failing.IsZero() {
+		// Numbers of ends start anew with an incarnation: one that does not answer
+		// may be another, which would forget ends that nobody has read.
+		n.Noted = h.note
+	}
 	if h.answered && h.failing.IsZero() && len(h.runs) > 0 {
 		// A worker that does not answer gets no longer lease, or its end would
 		// move away with each look.
--- a/owner/model_test.go
+++ b/owner/model_test.go
@@ -148,8 +148,9 @@
 
 // regressions are seeds that have failed, each with its cause.
 var regressions = []uint64{
+	190, // a look meant for a dead incarnation had the next one forget its ends
 	252, // nothing looked again at a subtask that was held back for a time
-	53, // looks that were not answered moved the end of a dead worker's lease away
+	53,  // looks that were not answered moved the end of a dead worker's lease away
 }
 
 // TestModel plays jobs, cancellations and troubles of owners, workers and the
--- a/owner/world_test.go
+++ b/owner/world_test.go
@@ -72,6 +72,7 @@
 		w.log.Writer = log.IOWriter{Writer: os.Stderr}
 	}
 	w.commit, w.start = w.kv.Commit, w.crew.Start
+	w.crew.Noted = w.stored
 	lengths := rand.New(rand.NewPCG(seed, 8))
 	var mu sync.Mutex
 	w.crew.Length = func(id runs.Task, _ int) (time.Duration, runs.How) {
@@ -269,6 +270,20 @@
 	return j
 }
 
+// stored tells what is wrong if an end is taken note of that is not recorded.
+func (w *world) stored(e runs.End) string {
+	r := w.state(e.Task.Job)
+	if e.How != runs.Done || r.State != steps.Open {
+		return ""
+	}
+	for _, t := range r.Tasks {
+		if t.Occur == e.Task.Occur && t.Step == e.Task.Step && t.Index == e.Task.Index && t.Done {
+			return ""
+		}
+	}
+	return fmt.Sprintf("LOST end of %s is taken note of and not recorded", e.Task)
+}
+
 // state returns the recorded state of a job.
 func (w *world) state(id string) steps.Record {
 	it, ok := w.kv.Peek(owner.StateKey(poolName, id))
