shift, owner: foresee a turn by what arrives

Change: a pool asks for the processor that arriving work needs, over 0.7 s, if that is more than what waits; late work counts a quarter.

--- a/owner/act.go
+++ b/owner/act.go
@@ -67,11 +67,9 @@
 		if !j.fresh && !o.clear {
 			continue
 		}
-		left := j.track.Chain(func(s *steps.Step) time.Duration { return o.expect(j, s) })
-		list = append(list, pack.Waiting{
-			Index: i, Rank: j.track.Job.Rank, Lasting: j.lasting, Begun: j.track.Begun(),
-			Accepted: time.UnixMilli(j.track.Job.Accepted), Aim: o.aim(j, left), Left: left,
-		})
+		w := o.waiting(j)
+		w.Index = i
+		list = append(list, w)
 	}
 	slices.SortStableFunc(list, func(a, b pack.Waiting) int { return pack.Compare(&a, &b, now) })
 	out := make([]*job, len(list))
@@ -81,6 +79,15 @@
 	return out
 }
 
+// waiting returns a job as the decisions see it.
+func (o *Owner) waiting(j *job) pack.Waiting {
+	left := j.track.Chain(func(s *steps.Step) time.Duration { return o.expect(j, s) })
+	return pack.Waiting{
+		Rank: j.track.Job.Rank, Lasting: j.lasting, Begun: j.track.Begun(),
+		Accepted: time.UnixMilli(j.track.Job.Accepted), Aim: o.aim(j, left), Left: left,
+	}
+}
+
 // expect returns the expected run time of a step's subtasks.
 func (o *Owner) expect(j *job, s *steps.Step) time.Duration {
 	declared := time.Duration(s.Estimate) * time.Millisecond
--- a/owner/host.go
+++ b/owner/host.go
@@ -251,6 +251,7 @@
 	s := p.task.Step
 	if !s.Fills {
 		h.used.CPU -= s.CPU
+		p.job.used -= s.CPU
 	}
 	h.used.Mem -= s.Mem
 	h.used.GPU -= s.GPU
@@ -263,6 +264,7 @@
 	s := p.task.Step
 	if !s.Fills {
 		h.used.CPU += s.CPU
+		p.job.used += s.CPU
 	}
 	h.used.Mem += s.Mem
 	h.used.GPU += s.GPU
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"shallotpaddle/pack"
 	"shallotpaddle/plat"
 	"shallotpaddle/runs"
 	"shallotpaddle/steps"
@@ -20,7 +21,9 @@
 	fresh bool
 	// active is the number of subtasks that hold room on a worker.
 	active int
-	ended  time.Time // when it was known to have ended
+	// used is the processor that these hold, in thousandths of a core.
+	used  int
+	ended time.Time // when it was known to have ended
 	// lasting tells that subtasks run until the job is cancelled.
 	lasting bool
 	// chain is the longest chain of work that the job was expected to have.
@@ -143,15 +146,26 @@
 	o.open = slices.Insert(o.open, at, j)
 	o.Stats.Jobs.Inc(1)
 	o.dirty = true
-	for i := range doc.Steps {
-		if s := &doc.Steps[i]; !s.Fills && len(s.After) == 0 && doc.Times == 0 {
-			o.asked += s.Count * s.CPU
-		}
+	if fresh && doc.Times == 0 && !j.lasting {
+		o.arrive(j)
 	}
 	o.Log.Info().Str("job", doc.ID).Str("pool", o.Pool).Str("queue", doc.Queue).Int("steps", len(doc.Steps)).
 		Bool("fresh", fresh).Int64("ageMs", o.Clock.Now().UnixMilli()-doc.Accepted).Msg("job known")
 }
 
+// arrive takes a job's work into the measure of what arrives.
+func (o *Owner) arrive(j *job) {
+	work := 0.0
+	for i := range j.track.Job.Steps {
+		if s := &j.track.Job.Steps[i]; !s.Fills {
+			work += float64(s.Count*s.CPU) * o.expect(j, s).Seconds()
+		}
+	}
+	now := o.Clock.Now()
+	o.inflow.Add(now, work)
+	o.asked = max(o.asked, o.inflow.CPU(now))
+}
+
 // compareJobs orders jobs by rank, then by acceptance.
 func compareJobs(a, b *job) int {
 	x, y := a.track.Job, b.track.Job
@@ -312,20 +326,21 @@
 func (o *Owner) encodeDigest() []byte {
 	d := Digest{Waiting: map[string]int{}, Hosts: map[string]HostLoad{}, Released: map[string]int64{}}
 	now := o.Clock.Now()
+	late := 0
 	for _, j := range o.open {
 		if !j.track.Started && j.track.Job.Times == 0 {
 			d.Waiting[j.track.Job.Queue]++
 		}
 		d.Floor = max(d.Floor, spread(j.track.Job))
-		j.track.Ready(now, func(t *steps.Task) bool {
-			if !t.Step.Fills {
-				d.Want += t.Step.CPU
-			}
-			return true
-		})
+		cpu := j.cpu(now)
+		if w := o.waiting(j); pack.Late(&w, now) {
+			late += cpu
+		} else {
+			d.Want += cpu
+		}
 	}
+	d.Want = max(d.Want, o.inflow.CPU(now)) + late/lateShare
 	for _, h := range o.hosts {
-		d.Want += h.used.CPU
 		d.Hosts[h.id] = HostLoad{roughly(h.used.CPU), h.lasting()}
 		if h.release != 0 && h.empty() {
 			d.Released[h.id] = h.release
@@ -340,6 +355,22 @@
 	return b
 }
 
+// lateShare is the part of what late work asks for that counts: it waits for
+// quieter times when another pool's work can still be on time.
+const lateShare = 4
+
+// cpu returns the processor that a job's running and ready subtasks ask for.
+func (j *job) cpu(now time.Time) int {
+	n := j.used
+	j.track.Ready(now, func(t *steps.Task) bool {
+		if !t.Step.Fills {
+			n += t.Step.CPU
+		}
+		return true
+	})
+	return n
+}
+
 // digestGrain is the resolution of the digest's processor figures, so that
 // small changes need no write.
 const digestGrain = 4000
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -19,6 +19,7 @@
 	"shallotpaddle/plat"
 	"shallotpaddle/policy"
 	"shallotpaddle/runs"
+	"shallotpaddle/shift"
 )
 
 // ErrDeposed is returned when a worker or the store has refused the owner's
@@ -99,6 +100,7 @@
 	// asked is the processor that running and waiting work asks for, told what
 	// the last digest said, in thousandths of a core.
 	asked, told int
+	inflow      shift.Inflow
 	released    bool // a worker was emptied since the last digest
 	// ghosts are starts that may still be carried out, by worker.
 	ghosts map[string][]ghost
--- a/pack/order.go
+++ b/pack/order.go
@@ -49,6 +49,9 @@
 	}
 }
 
+// Late tells whether a job can no longer be on time.
+func Late(w *Waiting, now time.Time) bool { return Tier(w, now) > 2 }
+
 // Compare orders jobs that wait: by rank, by tier, and within a tier by
 // acceptance.
 func Compare(a, b *Waiting, now time.Time) int {
--- a/shift/shift_test.go
+++ b/shift/shift_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -143,3 +144,19 @@
 	got := byRoute(shift.Moves([]shift.Pool{giver, pool("b", 1, 9*cpu, cpu)}, cpu))
 	require.Equal(t, map[string]int{"a>b": 1}, got)
 }
+
+// TestInflowOfTurn replays the start and the end of a turn of forty jobs a
+// second: the measure follows within a second, both ways.
+func TestInflowOfTurn(t *testing.T) {
+	var f shift.Inflow
+	begin := time.UnixMilli(0)
+	const work = 14000.0 // thousandths of a core times seconds
+	ms := func(n int) time.Time { return begin.Add(time.Duration(n) * time.Millisecond) }
+	for n := 0; n < 4500; n += 25 {
+		f.Add(ms(n), work)
+		if n == 1000 {
+			require.InEpsilon(t, 40*work, f.CPU(ms(n)), 0.1)
+		}
+	}
+	require.Zero(t, f.CPU(ms(5500)))
+}
