--- a/agent/agent.go
+++ b/agent/agent.go
@@ -79,7 +79,7 @@
 func New(set *platform.Settings, clock quartz.Clock, logger *log.Logger) *Agent {
 	a := &Agent{
 		set: set, clock: clock, log: logger, reg: metrics.NewRegistry(),
-		store: platform.NewStore(set.Store), workers: platform.NewWorkers(), fleet: platform.NewFleet(set.Fleet),
+		store: platform.NewStore(set.Store, clock), workers: platform.NewWorkers(), fleet: platform.NewFleet(set.Fleet),
 		owners: map[string]*running{}, waves: map[string]steward.Wave{}, wake: make(chan struct{}, 1),
 	}
 	a.stats = owner.NewStats(a.reg)
@@ -157,7 +157,16 @@
 }
 
 // ready tells whether callers may be sent here.
-func (a *Agent) ready() bool { return !a.stopping.Load() && a.version.Load() != nil }
+func (a *Agent) ready() bool {
+	return !a.stopping.Load() && a.version.Load() != nil && !a.cutOff()
+}
+
+// silence is how long the store may serve no call of this entry before it counts
+// as out of reach; the lease alone is renewed four times in its length.
+const silence = time.Second
+
+// cutOff tells whether the store is out of this entry's reach.
+func (a *Agent) cutOff() bool { return a.clock.Since(a.store.Heard()) > silence }
 
 func (a *Agent) newElector(ctx context.Context) *elect.Elector {
 	return elect.New(elect.Params{
--- a/agent/desk.go
+++ b/agent/desk.go
@@ -58,6 +58,9 @@
 
 // submit accepts a job: it is stored before the caller hears of it.
 func (d *desk) submit(ctx context.Context, q *policy.Queue, j *steps.Job) platform.Answer {
+	if d.agent.cutOff() {
+		return d.turnAway(j.ID, "submit")
+	}
 	begun := d.agent.clock.Now()
 	j.Queue, j.Rank, j.Tries, j.Slack, j.Target = q.Name, q.Rank, q.Tries, q.Slack, q.Target.Milliseconds()
 	j.Accepted = begun.UnixMilli()
@@ -75,6 +78,13 @@
 	return a
 }
 
+// turnAway refuses a request at once that the store is needed for.
+func (d *desk) turnAway(id, what string) platform.Answer {
+	d.refused.Inc(1)
+	d.agent.log.Info().Str("job", id).Str("request", what).Time("heard", d.agent.store.Heard()).Msg("refused: store out of reach")
+	return platform.Answer{Outcome: platform.Refused, Retry: retryAfter}
+}
+
 func (d *desk) count(o platform.Outcome) {
 	switch o {
 	case platform.Done:
@@ -146,6 +156,9 @@
 }
 
 func (d *desk) state(ctx context.Context, q *policy.Queue, id string) platform.Answer {
+	if d.agent.cutOff() {
+		return d.turnAway(id, "state")
+	}
 	pool, r, err := d.find(ctx, q, id)
 	a := platform.Answer{Outcome: platform.Done, State: string(r.State)}
 	switch {
@@ -164,6 +177,9 @@
 }
 
 func (d *desk) cancel(ctx context.Context, q *policy.Queue, id string) platform.Answer {
+	if d.agent.cutOff() {
+		return d.turnAway(id, "cancel")
+	}
 	pool, r, err := d.find(ctx, q, id)
 	var a platform.Answer
 	switch {
