--- a/fakes/crew.go
+++ b/fakes/crew.go
@@ -33,7 +33,8 @@
 	jobs    map[string]*steps.Job
 	ended   map[runs.Task]bool // ended done, and somebody has read so
 	done    map[runs.Task]bool // ended done, and taken note of
-	failed  map[runs.Task]int
+	failed  map[runs.Task]int // ends that were taken note of
+	fails   map[runs.Task]int // all ends by failure
 	cancels map[string]time.Time
 	faults  []string
 	starts  int
@@ -77,7 +78,7 @@
 func NewCrew(holdMax time.Duration) *Crew {
 	return &Crew{
 		HoldMax: holdMax, workers: map[string]*Worked{}, jobs: map[string]*steps.Job{}, done: map[runs.Task]bool{},
-		ended: map[runs.Task]bool{}, failed: map[runs.Task]int{}, cancels: map[string]time.Time{},
+		ended: map[runs.Task]bool{}, failed: map[runs.Task]int{}, fails: map[runs.Task]int{}, cancels: map[string]time.Time{},
 	}
 }
 
@@ -153,6 +154,19 @@
 	return slices.Clone(c.faults)
 }
 
+// Fails returns how often the subtask of a job that failed most has failed.
+func (c *Crew) Fails(job string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for t, fails := range c.fails {
+		if t.Job == job {
+			n = max(n, fails)
+		}
+	}
+	return n
+}
+
 // Starts returns the number of runs that began.
 func (c *Crew) Starts() int {
 	c.mu.Lock()
@@ -286,6 +300,9 @@
 	}
 	w.used.Mem -= r.step.Mem
 	w.count++
+	if how == runs.Failed {
+		c.fails[t]++
+	}
 	w.ends = append(w.ends, runs.End{Number: w.count, Task: t, Run: r.run, How: how})
 	close(w.changed)
 	w.changed = make(chan struct{})
--- a/owner/model_test.go
+++ b/owner/model_test.go
@@ -139,12 +139,25 @@
 			w.t.Logf("job %s %+v: %+v", j.ID, j.Steps, r)
 		}
 		require.NotEqual(t, steps.Open, r.State, "LOST job %s", j.ID)
+		if r.State == steps.Failed && !w.gang(j) {
+			require.GreaterOrEqual(t, w.crew.Fails(j.ID), j.Tries, "LOST job %s is failed without cause", j.ID)
+		}
 		if r.State == steps.Cancelled {
 			require.True(t, w.cancels[j.ID], "LOST job %s is cancelled without cause", j.ID)
 		}
 	}
 }
 
+// gang tells whether a job has a gang, whose members' failures add up.
+func (w *world) gang(j *steps.Job) bool {
+	for i := range j.Steps {
+		if j.Steps[i].Gang {
+			return true
+		}
+	}
+	return false
+}
+
 // seeds returns how many seeds the model is run with.
 func seeds() uint64 {
 	n, err := strconv.ParseUint(os.Getenv("MODEL_SEEDS"), 10, 64)
@@ -156,6 +169,7 @@
 
 // regressions are seeds that have failed, each with its cause.
 var regressions = []uint64{
+	21, 185, // a failure that was recorded and not acknowledged counted again after a handover
 	18, 36, 51, // a lease was taken to end up to a look's wait too early
 	383, // a claim that was carried out late left a pool with a leader that did not know of it
 	190, // a look meant for a dead incarnation had the next one forget its ends
--- a/owner/world_test.go
+++ b/owner/world_test.go
@@ -80,7 +80,7 @@
 		mu.Lock()
 		defer mu.Unlock()
 		how := runs.Done
-		if lengths.IntN(50) == 0 {
+		if lengths.IntN(20) == 0 {
 			how = runs.Failed
 		}
 		return time.Duration(200+lengths.IntN(1500)) * time.Millisecond, how
--- a/steps/track.go
+++ b/steps/track.go
@@ -231,9 +231,9 @@
 func (t *Track) failed(task *Task, run int) {
 	if task.Step.Gang {
 		task = task.Peers()[0] // a gang fails as one
-		if task.FailedRun == run {
-			return
-		}
+	}
+	if run <= task.FailedRun {
+		return // counted already, perhaps by an earlier owner that could not acknowledge it
 	}
 	task.Fails++
 	task.FailedRun = max(task.FailedRun, run)
