--- a/fakes/crew.go
+++ b/fakes/crew.go
@@ -33,8 +33,8 @@
 	jobs    map[string]*steps.Job
 	ended   map[runs.Task]bool // ended done, and somebody has read so
 	done    map[runs.Task]bool // ended done, and taken note of
-	failed  map[runs.Task]int // ends that were taken note of
-	fails   map[runs.Task]int // all ends by failure
+	failed  map[runs.Task]int  // ends that were taken note of
+	fails   map[runs.Task]int  // all ends by failure
 	cancels map[string]time.Time
 	faults  []string
 	starts  int
--- a/owner/world_test.go
+++ b/owner/world_test.go
@@ -76,7 +76,7 @@
 	w.crew.Noted = w.stored
 	lengths := rand.New(rand.NewPCG(seed, 8))
 	var mu sync.Mutex
-	w.crew.Length = func(id runs.Task, _ int) (time.Duration, runs.How) {
+	w.crew.Length = func(runs.Task, int) (time.Duration, runs.How) {
 		mu.Lock()
 		defer mu.Unlock()
 		how := runs.Done
