pack, owner: avoid workers that fail or hold up what they start

Cause: workers that fail everything at once are the emptiest, so the emptiest-first placement sends most of a pool's work there; subtasks that stand still were waited for until their worker's end. Change: recent records of workers, of which those that stand out get no work for a while; a run that is about to take four times its expected time moves once.

--- a/owner/act.go
+++ b/owner/act.go
@@ -135,6 +135,7 @@
 		})
 		rows = append(rows, h)
 	}
+	o.sick(cands, rows, now)
 	return cands, rows
 }
 
--- /dev/null
+++ b/owner/health.go
@@ -0,0 +1,60 @@
+package owner
+
+import (
+	"time"
+
+	"shallotpaddle/pack"
+	"shallotpaddle/runs"
+)
+
+const (
+	// overdueSlack is how long beyond its expected time a run is at work before it
+	// is looked at for progress, and slowFactor the multiple of that time that it
+	// must be about to take: run times spread by half of their size.
+	overdueSlack = 700 * time.Millisecond
+	slowFactor   = 4
+)
+
+// judge takes an end into the worker's record.
+func (o *Owner) judge(h *host, how runs.How, now time.Time) {
+	switch how {
+	case runs.Done:
+		h.health.Good(now)
+	case runs.Failed:
+		h.health.Bad(now)
+	}
+}
+
+// sick marks the candidates that should get no work.
+func (o *Owner) sick(cands []pack.Host, rows []*host, now time.Time) {
+	records := make([]*pack.Health, len(rows))
+	for i, h := range rows {
+		records[i] = &h.health
+	}
+	for i, sick := range pack.Sick(records, now) {
+		cands[i].Sick = sick
+		if h := rows[i]; h.sick != sick {
+			h.sick = sick
+			o.Log.Info().Str("pool", o.Pool).Str("host", h.id).Bool("sick", sick).Msg("judgement of worker changed")
+		}
+	}
+}
+
+// hurry moves a run that makes too little progress to another worker, once for
+// each subtask: one that is long everywhere must end somewhere.
+func (o *Owner) hurry(h *host, p *placement, now time.Time) {
+	t := p.task
+	if t.Step.Lasting || t.Step.Gang || t.Hurried || p.stopping || p.confirmed.IsZero() || t.Run != p.run {
+		return
+	}
+	expected := o.expect(p.job, t.Step)
+	elapsed := now.Sub(p.confirmed)
+	if elapsed < expected+overdueSlack || elapsed*100 < time.Duration(t.Percent)*expected*slowFactor {
+		return
+	}
+	t.Hurried, t.Avoid = true, h.id
+	h.health.Bad(now)
+	o.Log.Info().Str("task", t.ID.String()).Int("run", p.run).Str("host", h.id).Int("percent", t.Percent).
+		Dur("elapsed", elapsed).Dur("expected", expected).Msg("run makes too little progress")
+	o.stopRun(h, p, "too little progress")
+}
--- a/owner/host.go
+++ b/owner/host.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"shallotpaddle/hosts"
+	"shallotpaddle/pack"
 	"shallotpaddle/runs"
 	"shallotpaddle/steps"
 )
@@ -43,6 +44,8 @@
 	failing  time.Time // since when looks have failed; zero if they don't
 	leaving  time.Time // when the worker was first known to leave
 	full     time.Time // no starts before this time: it had no room
+	health   pack.Health
+	sick     bool // by the last judgement
 	// release is the steward's task for which the worker is emptied; 0 for none.
 	release int64
 }
@@ -474,6 +477,7 @@
 			if v.Saved != "" {
 				p.task.Saved = v.Saved
 			}
+			o.hurry(h, p, now)
 		}
 		return
 	}
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -244,6 +244,9 @@
 		}
 		o.release(h, p)
 	}
+	if !t.Step.Lasting {
+		o.judge(h, e.How, o.Clock.Now())
+	}
 	was := j.track.Final
 	t.Run = max(t.Run, e.Run)
 	if e.How == runs.Failed {
--- a/steps/track.go
+++ b/steps/track.go
@@ -43,6 +43,8 @@
 	Pace int
 	// Held bars a start until this time: an earlier owner's run may still be there.
 	Held time.Time
+	// Hurried tells that a run was stopped for want of progress.
+	Hurried bool
 	// Avoid is the worker on which the subtask failed last.
 	Avoid string
 }
