--- a/owner/health.go
+++ b/owner/health.go
@@ -9,10 +9,10 @@
 
 const (
 	// overdueSlack is how long beyond its expected time a run is at work before it
-	// is looked at for progress, and slowFactor the multiple of that time that it
-	// must be about to take: run times spread by half of their size.
+	// is looked at for progress, and slowFactor the multiple of that time that must
+	// be left: run times spread by half of their size, declared ones by more.
 	overdueSlack = 700 * time.Millisecond
-	slowFactor   = 4
+	slowFactor   = 3
 )
 
 // judge takes an end into the worker's record.
@@ -49,7 +49,10 @@
 	}
 	expected := o.expect(p.job, t.Step)
 	elapsed := now.Sub(p.confirmed)
-	if elapsed < expected+overdueSlack || elapsed*100 < time.Duration(t.Percent)*expected*slowFactor {
+	if elapsed < expected+overdueSlack {
+		return
+	}
+	if p := time.Duration(t.Percent); p > 0 && elapsed*(100-p)/p < slowFactor*expected+overdueSlack {
 		return
 	}
 	t.Hurried, t.Avoid = true, h.id
