cmds, agent: reload settings at SIGHUP, serve metrics on an address

Cause: SIGHUP ended the process: nothing handled it; counters were on the readiness address only, whose port changes. Ruled out: nothing. Change: SIGHUP reads the settings again; a file with faults leaves those in force; -metrics names an address.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -45,10 +45,13 @@
 
 // Agent is one entry process.
 type Agent struct {
-	set   *platform.Settings
-	clock quartz.Clock
-	log   *log.Logger
-	reg   metrics.Registry
+	settings atomic.Pointer[platform.Settings]
+	// metrics is where counters are served besides the readiness address; empty
+	// for nowhere.
+	metrics string
+	clock   quartz.Clock
+	log     *log.Logger
+	reg     metrics.Registry
 
 	store   *platform.Store
 	workers *platform.Workers
@@ -75,25 +78,38 @@
 	stop  context.CancelFunc
 }
 
-// New returns an agent that does nothing yet.
-func New(set *platform.Settings, clock quartz.Clock, logger *log.Logger) *Agent {
+// New returns an agent that does nothing yet. Metrics, IP:port, is where counters
+// are served besides the readiness address, unless empty.
+func New(set *platform.Settings, metricsAddr string, clock quartz.Clock, logger *log.Logger) *Agent {
 	a := &Agent{
-		set: set, clock: clock, log: logger, reg: metrics.NewRegistry(),
+		metrics: metricsAddr, clock: clock, log: logger, reg: metrics.NewRegistry(),
 		store: platform.NewStore(set.Store, clock), workers: platform.NewWorkers(), fleet: platform.NewFleet(set.Fleet),
 		owners: map[string]*running{}, waves: map[string]steward.Wave{}, wake: make(chan struct{}, 1),
 	}
+	a.settings.Store(set)
 	a.stats = owner.NewStats(a.reg)
 	a.desk = newDesk(a)
 	return a
 }
 
+// set returns the settings in force.
+func (a *Agent) set() *platform.Settings { return a.settings.Load() }
+
+// Reload takes in changed settings. Bounds hold for pools that are taken over
+// from now on; addresses are those of the start.
+func (a *Agent) Reload(set *platform.Settings) {
+	old := a.settings.Swap(set)
+	a.log.Info().Str("entry", set.Name).Bool("changed", *old != *set).
+		Bool("moved", old.Callers != set.Callers || old.Ready != set.Ready || old.Store != set.Store).Msg("settings reloaded")
+}
+
 // Run serves until stop ends, then stops within the platform's grace period.
 func (a *Agent) Run(stop context.Context) error {
-	callers, err := net.Listen("tcp", a.set.Callers)
+	callers, err := net.Listen("tcp", a.set().Callers)
 	if err != nil {
 		return fmt.Errorf("callers' address: %w", err)
 	}
-	ready, err := net.Listen("tcp", a.set.Ready)
+	ready, err := net.Listen("tcp", a.set().Ready)
 	if err != nil {
 		return errors.Join(fmt.Errorf("readiness address: %w", err), callers.Close())
 	}
@@ -109,8 +125,9 @@
 	go a.followPlan(ctx)
 	go a.serve(front, callers)
 	go a.serve(probes, ready)
-	a.log.Info().Str("entry", a.set.Name).Str("callers", a.set.Callers).Float64("cores", a.set.Cores).
-		Int64("memory", a.set.Memory).Msg("started")
+	a.serveMetrics(ctx)
+	a.log.Info().Str("entry", a.set().Name).Str("callers", a.set().Callers).Float64("cores", a.set().Cores).
+		Int64("memory", a.set().Memory).Msg("started")
 	<-stop.Done()
 	a.drain(front)
 	cancel()
@@ -123,20 +140,48 @@
 	}
 }
 
+// serveMetrics serves counters on an address of their own. An entry without them
+// is still of use.
+func (a *Agent) serveMetrics(ctx context.Context) {
+	if a.metrics == "" {
+		return
+	}
+	l, err := net.Listen("tcp", a.metrics)
+	if err != nil {
+		a.log.Error().Str("address", a.metrics).Err(err).Msg("metrics not served")
+		return
+	}
+	s := &http.Server{Handler: a.counters(), ReadHeaderTimeout: readHeader, IdleTimeout: idle}
+	go a.serve(s, l)
+	go func() {
+		<-ctx.Done()
+		if err := s.Close(); err != nil {
+			a.log.Warn().Err(err).Msg("metrics not closed")
+		}
+	}()
+}
+
+// counters serves the entry's metrics as text.
+func (a *Agent) counters() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WriteOnce(a.reg, w) })
+	return mux
+}
+
 // drain gives up the pools, lets the balancer notice, and finishes requests.
 func (a *Agent) drain(front *http.Server) {
 	a.stopping.Store(true)
-	a.log.Info().Str("entry", a.set.Name).Msg("stopping")
-	ctx, cancel := context.WithTimeout(context.Background(), a.set.Bounds.Grace-stopMargin)
+	a.log.Info().Str("entry", a.set().Name).Msg("stopping")
+	ctx, cancel := context.WithTimeout(context.Background(), a.set().Bounds.Grace-stopMargin)
 	defer cancel()
 	a.elector.Resign(ctx)
 	front.SetKeepAlivesEnabled(false)
 	a.pause(ctx, notice)
 	if err := front.Shutdown(ctx); err != nil {
-		a.log.Warn().Str("entry", a.set.Name).Err(err).Msg("stopped with requests in flight")
+		a.log.Warn().Str("entry", a.set().Name).Err(err).Msg("stopped with requests in flight")
 		return
 	}
-	a.log.Info().Str("entry", a.set.Name).Msg("stopped")
+	a.log.Info().Str("entry", a.set().Name).Msg("stopped")
 }
 
 func (a *Agent) pause(ctx context.Context, d time.Duration) {
@@ -152,7 +197,7 @@
 func (a *Agent) probes(d *platform.Desk) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/", d.Readiness())
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WriteOnce(a.reg, w) })
+	mux.Handle("GET /metrics", a.counters())
 	return mux
 }
 
@@ -170,7 +215,7 @@
 
 func (a *Agent) newElector(ctx context.Context) *elect.Elector {
 	return elect.New(elect.Params{
-		Name: a.set.Name, Clock: a.clock, Log: a.log, TTL: max(leaseTTL, a.set.Bounds.LeaseMin),
+		Name: a.set().Name, Clock: a.clock, Log: a.log, TTL: max(leaseTTL, a.set().Bounds.LeaseMin),
 		Store: elect.Store{
 			List: a.store.List, Watch: a.store.Watch, Commit: a.store.Commit, Get: a.store.Get,
 			Grant: a.store.Grant, Renew: a.store.Renew, Revoke: a.store.Revoke,
@@ -190,7 +235,7 @@
 	run, stop := context.WithCancel(ctx)
 	o := owner.New(owner.Params{
 		Pool: t.Pool, Lead: elect.LeadKey(t.Pool), Fence: t.Fence, Term: t.Number,
-		Bounds: owner.Bounds{HoldMax: a.set.Bounds.HoldMax, Stop: a.set.Bounds.Stop, Drain: a.set.Bounds.Drain, Keep: a.set.Bounds.Status},
+		Bounds: owner.Bounds{HoldMax: a.set().Bounds.HoldMax, Stop: a.set().Bounds.Stop, Drain: a.set().Bounds.Drain, Keep: a.set().Bounds.Status},
 		Store:  owner.Store{List: a.store.List, Watch: a.store.Watch, Commit: a.store.Commit},
 		Workers: owner.Workers{
 			Start: a.workers.Start, Stop: a.workers.Stop, Pace: a.workers.Pace, Renew: a.workers.Renew,
@@ -224,8 +269,8 @@
 func (a *Agent) startSteward(ctx context.Context, t elect.Term) {
 	run, stop := context.WithCancel(ctx)
 	s := steward.New(steward.Params{
-		Name: a.set.Name, Lead: elect.LeadKey(t.Pool), Fence: t.Fence, Quiet: a.set.Bounds.Lease + quietMargin,
-		Down: a.set.Bounds.Upkeep, Clock: a.clock, Log: a.log, Policy: a.version.Load, Waves: a.waveList,
+		Name: a.set().Name, Lead: elect.LeadKey(t.Pool), Fence: t.Fence, Quiet: a.set().Bounds.Lease + quietMargin,
+		Down: a.set().Bounds.Upkeep, Clock: a.clock, Log: a.log, Policy: a.version.Load, Waves: a.waveList,
 		List: a.store.List, Commit: a.store.Commit, Hosts: a.fleet.Hosts, Move: a.fleet.Move, Upkeep: a.fleet.Maintain,
 		Status: platform.WaveStatus,
 	})
--- a/cmds/node.go
+++ b/cmds/node.go
@@ -3,8 +3,13 @@
 import (
 	"context"
 	"flag"
+	"fmt"
+	"net/netip"
+	"os"
+	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"syscall"
 
 	"github.com/coder/quartz"
 	"github.com/google/subcommands"
@@ -25,20 +30,21 @@
 )
 
 func newNode(e *env) subcommands.Command {
-	var file, level string
+	var file, level, metrics string
 	return &command{
 		env: e, name: "node", min: 0, max: 0,
-		usage:    "node [-settings FILE] [-log LEVEL]",
+		usage:    "node [-settings FILE] [-metrics IP:PORT] [-log LEVEL]",
 		synopsis: "run an entry on the users' platform until SIGTERM",
 		flags: func(f *flag.FlagSet) {
 			f.StringVar(&file, "settings", "", "the platform's settings `file`; default from "+platform.SettingsVar)
+			f.StringVar(&metrics, "metrics", "", "`IP:port` on which metrics are served besides the readiness address")
 			f.StringVar(&level, "log", "info", "lowest `level` that is logged")
 		},
-		run: func(ctx context.Context, _ []string) error { return e.node(ctx, file, level) },
+		run: func(ctx context.Context, _ []string) error { return e.node(ctx, file, metrics, level) },
 	}
 }
 
-func (e *env) node(ctx context.Context, file, level string) error {
+func (e *env) node(ctx context.Context, file, metrics, level string) error {
 	if file == "" {
 		file = platform.SettingsPath(e.getenv)
 	}
@@ -46,11 +52,39 @@
 	if err != nil {
 		return settingsError(err)
 	}
+	if metrics != "" {
+		if _, err := netip.ParseAddrPort(metrics); err != nil {
+			return fmt.Errorf("%w: -metrics %q is not IP:port", ErrUsage, metrics)
+		}
+	}
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(int64(float64(set.Memory) * memoryShare))
 	logger := daemon.NewLogger(e.out, level)
 	logger.Writer = &log.AsyncWriter{Writer: logger.Writer, ChannelSize: logLines, DiscardOnFull: true}
 	stop, _, release := stopSignals(ctx)
 	defer release()
-	return agent.New(set, quartz.NewReal(), logger).Run(stop)
+	a := agent.New(set, metrics, quartz.NewReal(), logger)
+	go reloadOnHangup(stop, a, file, logger)
+	return a.Run(stop)
+}
+
+// reloadOnHangup reads the settings again at each SIGHUP. Settings with faults
+// leave those in force as they are.
+func reloadOnHangup(ctx context.Context, a *agent.Agent, file string, logger *log.Logger) {
+	ch := make(chan os.Signal, 1)
+	signal.Notify(ch, syscall.SIGHUP)
+	defer signal.Stop(ch)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ch:
+		}
+		set, err := platform.Load(file)
+		if err != nil {
+			logger.Error().Str("file", file).Err(err).Msg("settings not reloaded")
+			continue
+		}
+		a.Reload(set)
+	}
 }
