--- a/agent/desk.go
+++ b/agent/desk.go
@@ -18,8 +18,9 @@
 const (
 	// storeRetry is the pause before a write is tried again within a request.
 	storeRetry = 30 * time.Millisecond
-	// refuseAfter is how long a request waits for a store that refuses it.
-	refuseAfter = 300 * time.Millisecond
+	// giveUpAfter is how long a request waits for a store that does not serve it;
+	// the caller's next try may reach an entry that is served.
+	giveUpAfter = 400 * time.Millisecond
 	// retryAfter is when a caller should come back that the store kept out.
 	retryAfter = time.Second
 )
@@ -59,7 +60,9 @@
 // submit accepts a job: it is stored before the caller hears of it.
 func (d *desk) submit(ctx context.Context, q *policy.Queue, j *steps.Job) platform.Answer {
 	if d.agent.cutOff() {
-		return d.turnAway(j.ID, "submit")
+		// The job may be the repeat of one that was accepted: only the store can say
+		// that it was not.
+		return d.turnAway(j.ID, "submit", platform.Unknown)
 	}
 	begun := d.agent.clock.Now()
 	j.Queue, j.Rank, j.Tries, j.Slack, j.Target = q.Name, q.Rank, q.Tries, q.Slack, q.Target.Milliseconds()
@@ -78,11 +81,12 @@
 	return a
 }
 
-// turnAway refuses a request at once that the store is needed for.
-func (d *desk) turnAway(id, what string) platform.Answer {
-	d.refused.Inc(1)
-	d.agent.log.Info().Str("job", id).Str("request", what).Time("heard", d.agent.store.Heard()).Msg("refused: store out of reach")
-	return platform.Answer{Outcome: platform.Refused, Retry: retryAfter}
+// turnAway answers a request at once that the store is needed for.
+func (d *desk) turnAway(id, what string, o platform.Outcome) platform.Answer {
+	d.count(o)
+	d.agent.log.Info().Str("job", id).Str("request", what).Int("outcome", int(o)).
+		Time("heard", d.agent.store.Heard()).Msg("turned away: store out of reach")
+	return platform.Answer{Outcome: o, Retry: retryAfter}
 }
 
 func (d *desk) count(o platform.Outcome) {
@@ -97,29 +101,22 @@
 }
 
 // create writes a key unless it exists. That may be repeated: a key that is
-// there is the one that an earlier try wrote. Once a write may have been sent,
-// the answer is never that it was not done.
+// there is the one that an earlier try wrote. Without the store's word the answer
+// is that the outcome is unknown: the request may be the repeat of one that was
+// accepted.
 func (d *desk) create(ctx context.Context, p plat.Put) platform.Answer {
 	begun := d.agent.clock.Now()
-	sent := false
-	for {
+	for ctx.Err() == nil {
 		_, _, err := d.agent.store.Commit(ctx, plat.Txn{Expect: []plat.Condition{{Key: p.Key}}, Puts: []plat.Put{p}})
-		switch {
-		case err == nil, errors.Is(err, plat.ErrConflict):
+		if err == nil || errors.Is(err, plat.ErrConflict) {
 			return platform.Answer{Outcome: platform.Done, Pending: -1}
-		case errors.Is(err, plat.ErrUnknown):
-			sent = true
-		case !sent && d.agent.clock.Since(begun) > refuseAfter:
-			return platform.Answer{Outcome: platform.Refused, Retry: retryAfter}
 		}
-		if d.agent.clock.Since(begun) > 4*refuseAfter {
-			return platform.Answer{Outcome: platform.Unknown}
+		if d.agent.clock.Since(begun) > giveUpAfter || d.agent.cutOff() {
+			break
 		}
 		d.agent.pause(ctx, storeRetry)
-		if ctx.Err() != nil {
-			return platform.Answer{Outcome: platform.Unknown}
-		}
 	}
+	return platform.Answer{Outcome: platform.Unknown, Retry: retryAfter}
 }
 
 // find returns the pool and the recorded progress of a job. A job may have been
@@ -157,7 +154,7 @@
 
 func (d *desk) state(ctx context.Context, q *policy.Queue, id string) platform.Answer {
 	if d.agent.cutOff() {
-		return d.turnAway(id, "state")
+		return d.turnAway(id, "state", platform.Refused)
 	}
 	pool, r, err := d.find(ctx, q, id)
 	a := platform.Answer{Outcome: platform.Done, State: string(r.State)}
@@ -178,7 +175,7 @@
 
 func (d *desk) cancel(ctx context.Context, q *policy.Queue, id string) platform.Answer {
 	if d.agent.cutOff() {
-		return d.turnAway(id, "cancel")
+		return d.turnAway(id, "cancel", platform.Refused)
 	}
 	pool, r, err := d.find(ctx, q, id)
 	var a platform.Answer
