--- a/agent/desk.go
+++ b/agent/desk.go
@@ -77,14 +77,14 @@
 	d.accept.Update(took.Microseconds())
 	d.count(a.Outcome)
 	d.agent.log.Info().Str("job", j.ID).Str("queue", q.Name).Str("pool", q.Pool).Int64("version", d.agent.version.Load().Number).
-		Int("outcome", int(a.Outcome)).Dur("took", took).Msg("job submitted")
+		Str("outcome", a.Outcome.String()).Dur("took", took).Msg("job submitted")
 	return a
 }
 
 // turnAway answers a request at once that the store is needed for.
 func (d *desk) turnAway(id, what string, o platform.Outcome) platform.Answer {
 	d.count(o)
-	d.agent.log.Info().Str("job", id).Str("request", what).Int("outcome", int(o)).
+	d.agent.log.Info().Str("job", id).Str("request", what).Str("outcome", o.String()).
 		Time("heard", d.agent.store.Heard()).Msg("turned away: store out of reach")
 	return platform.Answer{Outcome: o, Retry: retryAfter}
 }
@@ -169,7 +169,7 @@
 	default:
 		a.State = "queued"
 	}
-	d.agent.log.Info().Str("job", id).Str("pool", pool).Str("state", a.State).Int("outcome", int(a.Outcome)).Err(err).Msg("state asked")
+	d.agent.log.Info().Str("job", id).Str("pool", pool).Str("state", a.State).Str("outcome", a.Outcome.String()).Err(err).Msg("state asked")
 	return a
 }
 
@@ -189,7 +189,7 @@
 	default:
 		a = d.create(ctx, plat.Put{Key: owner.CancelKey(pool, id), Value: []byte(`{}`)})
 	}
-	d.agent.log.Info().Str("job", id).Str("pool", pool).Int("outcome", int(a.Outcome)).Err(err).Msg("cancel asked")
+	d.agent.log.Info().Str("job", id).Str("pool", pool).Str("outcome", a.Outcome.String()).Err(err).Msg("cancel asked")
 	return a
 }
 
