steward: decide a task anew when its host has another worker

Cause: a test of a handover in the middle of a wave: an order whose answer was lost stayed on the plan, and the next steward gave it again to the host's new worker, which nobody had emptied; only the platform's word 'already done' kept it from harm. Ruled out: taking the new worker for a sign that the order was carried out; a crash makes one too, and a wave would be called complete too early.

--- a/owner/act.go
+++ b/owner/act.go
@@ -215,7 +215,7 @@
 	if !j.fresh && o.Term > 1 {
 		run = max(run, (o.Term-1)*runsPerTerm+1)
 	}
-	t.Phase, t.Host, t.Run, t.Since, t.Percent, t.Pace = steps.Starting, h.id, run, now, 0, 0
+	t.Phase, t.Host, t.Run, t.Since, t.Percent = steps.Starting, h.id, run, now, 0
 	p := &placement{task: t, job: j, run: run, until: h.now(now) + startLease.Milliseconds()}
 	o.reserve(h, p)
 	h.until = max(h.until, p.until)
--- a/pack/pack.go
+++ b/pack/pack.go
@@ -11,7 +11,6 @@
 // Host is a worker that may take a subtask.
 type Host struct {
 	ID     string
-	Rack   string
 	Labels []string
 	Room   hosts.Room
 	Free   hosts.Room
--- a/steps/track.go
+++ b/steps/track.go
@@ -39,8 +39,6 @@
 	// Percent and Figure are the worker's last word on the run.
 	Percent int
 	Figure  float64
-	// Pace is the share at which the run was told to work; 0 means all.
-	Pace int
 	// Held bars a start until this time: an earlier owner's run may still be there.
 	Held time.Time
 	// Hurried tells that a run was stopped for want of progress.
@@ -244,9 +242,6 @@
 	}
 }
 
-// Left returns the subtasks of a step that are not done.
-func (t *Track) Left(occur, step int) int { return t.occur(occur).left[step] }
-
 // Chain returns the longest chain of work that is left, given the expected run
 // time of a step.
 func (t *Track) Chain(expect func(*Step) time.Duration) time.Duration {
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -209,7 +209,9 @@
 	switch {
 	case h == nil:
 		return true, "host is gone"
-	case !t.Ordered && h.State == hosts.Up && h.Worker != t.Worker:
+	case !done && h.State == hosts.Up && h.Worker != t.Worker:
+		// Whether an order did that is not known: it is decided anew, for a worker
+		// that has to be emptied again.
 		return true, "host has another worker"
 	case !t.Ordered && h.State == hosts.Down:
 		return true, "host is down"
