--- a/agent/desk_test.go
+++ b/agent/desk_test.go
@@ -15,6 +15,7 @@
 	"github.com/phuslu/log"
 	"github.com/stretchr/testify/require"
 
+	"shallotpaddle/plat"
 	"shallotpaddle/platform"
 	"shallotpaddle/policy"
 	"shallotpaddle/steps"
@@ -102,3 +103,20 @@
 	r.status.Store(http.StatusServiceUnavailable)
 	require.Equal(t, platform.Refused, r.desk.state(context.Background(), q, "5c0e7a21d94b36f8").Outcome)
 }
+
+// TestConfigurationNeverGoesBack reads an older configuration after a newer one,
+// as a list after a gap in the history may show it.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	r := newRig(t)
+	r.elector = r.newElector(t.Context())
+	config := func(n string) plat.Item { return plat.Item{Key: "op/config", Value: []byte(`{"Version":` + n + `}`)} }
+	for _, c := range []struct {
+		number string
+		want   int64
+	}{{"7", 7}, {"5", 7}, {"7", 7}, {"12", 12}, {`"x"`, 12}} {
+		r.takeOperator(config(c.number))
+		require.Equal(t, c.want, r.version.Load().Number)
+	}
+	r.takeOperator(plat.Item{Key: "op/config", Gone: true})
+	require.Equal(t, int64(12), r.version.Load().Number)
+}
--- /dev/null
+++ b/owner/release_test.go
@@ -0,0 +1,116 @@
+package owner
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/coder/quartz"
+	"github.com/phuslu/log"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"shallotpaddle/hosts"
+	"shallotpaddle/runs"
+	"shallotpaddle/steps"
+)
+
+// lastingRig is an owner of three workers that each run a lasting subtask, of
+// which one may be away, and of which the first is to be emptied.
+type lastingRig struct {
+	*Owner
+	clock *quartz.Mock
+	tasks []*steps.Task
+	rows  []*host
+	stops chan runs.Stop
+}
+
+func newLastingRig(t *testing.T) *lastingRig {
+	r := &lastingRig{clock: quartz.NewMock(t), stops: make(chan runs.Stop, 9)}
+	r.Owner = New(Params{
+		Pool: "a", Clock: r.clock, Bounds: Bounds{Stop: 400 * time.Millisecond, HoldMax: time.Minute},
+		Log:   &log.Logger{Writer: log.IOWriter{Writer: io.Discard}},
+		Stats: NewStats(metrics.NewRegistry()),
+		Workers: Workers{Stop: func(_ context.Context, _ runs.Target, s runs.Stop) (runs.Reply, error) {
+			r.stops <- s
+			return runs.Reply{}, nil
+		}},
+	})
+	r.ctx, r.began = t.Context(), r.clock.Now()
+	r.add(&steps.Job{ID: "j", Steps: []steps.Step{{Count: 3, Lasting: true, MayMiss: 1}}}, true)
+	j := r.jobs["j"]
+	for i, id := range []string{"x", "y", "z"} {
+		h := newHost(hosts.Worker{ID: id})
+		task := j.track.Task(runs.Task{Job: "j", Index: i})
+		task.Phase, task.Host, task.Run, task.Percent = steps.Running, id, 1, 100
+		r.hosts[id] = h
+		r.reserve(h, &placement{task: task, job: j, run: 1, confirmed: r.clock.Now()})
+		r.tasks, r.rows = append(r.tasks, task), append(r.rows, h)
+	}
+	r.rows[0].release = 7
+	return r
+}
+
+// after lets time pass in which every worker reports.
+func (r *lastingRig) after(d time.Duration) {
+	r.clock.Advance(d)
+	for _, h := range r.rows {
+		h.reported = r.clock.Now()
+	}
+}
+
+func (r *lastingRig) stopping() bool {
+	r.emptyReleased(r.clock.Now())
+	return r.tasks[0].Phase == steps.Stopping
+}
+
+const settled = 400*time.Millisecond + freshReport
+
+func TestReleaseStopsOne(t *testing.T) {
+	r := newLastingRig(t)
+	r.after(settled)
+	require.True(t, r.stopping())
+	require.Equal(t, runs.Task{Job: "j"}, (<-r.stops).Task)
+	r.rows[1].release = 8
+	r.emptyReleased(r.clock.Now())
+	require.Equal(t, steps.Running, r.tasks[1].Phase, "another is away")
+}
+
+// TestReleaseWaits replays what made an owner stop too much: a worker that had
+// gone silent with its subtask, and stops of the owner before that were still
+// under way.
+func TestReleaseWaits(t *testing.T) {
+	for name, spoil := range map[string]func(r *lastingRig){
+		"another worker is silent":          func(r *lastingRig) { r.rows[1].failing = r.clock.Now() },
+		"another worker's report is old":    func(r *lastingRig) { r.rows[1].reported = r.clock.Now().Add(-freshReport) },
+		"another worker's life is over":     func(r *lastingRig) { delete(r.hosts, "y") },
+		"another subtask begins":            func(r *lastingRig) { r.tasks[1].Percent = 40 },
+		"another subtask waits":             func(r *lastingRig) { r.tasks[1].Phase = steps.Waiting },
+		"the owner has just been elected":   func(r *lastingRig) { r.began = r.clock.Now() },
+		"an earlier owner's stop may be on": func(r *lastingRig) { r.began = r.clock.Now().Add(-settled + time.Millisecond) },
+	} {
+		r := newLastingRig(t)
+		r.after(settled)
+		spoil(r)
+		require.False(t, r.stopping(), name)
+	}
+}
+
+// TestReleaseWithdrawn has a worker answer before it gets work again: the task may
+// have been carried out, which ends the worker's life.
+func TestReleaseWithdrawn(t *testing.T) {
+	r := newLastingRig(t)
+	h := r.rows[0]
+	h.listed, h.answered = true, true
+	r.takeWishes(Wishes{Rev: 1})
+	require.False(t, h.usable(r.clock.Now(), r.roster.version))
+	require.True(t, h.needsLook(r.clock.Now()))
+	r.takeLook(looked{host: h, sent: r.clock.Now(), report: runs.Report{Running: []runs.Running{{Task: r.tasks[0].ID, Run: 1, Percent: 100}}}})
+	require.True(t, h.usable(r.clock.Now(), r.roster.version))
+	r.takeWishes(Wishes{Rev: 2, Ended: map[string]bool{"x": true}})
+	require.NotContains(t, r.hosts, "x")
+	require.Equal(t, steps.Waiting, r.tasks[0].Phase)
+	r.takeWorker(h.w, r.clock.Now())
+	require.NotContains(t, r.hosts, "x", "its entry has yet to be removed")
+}
