fakes: have the stand-in platform carry out each reboot that it accepts

Ruled out: load as such; the entry's own record of the boot (it was taken at the permit). Change: platd passes an order on until the worker has answered; the worker carries an order out once. The row, its bound and its checks are as they were. Conclusion: a fault of the stand-in, not of the product.

--- a/fakes/control.go
+++ b/fakes/control.go
@@ -40,12 +40,14 @@
 
 func (w *Worker) seen(rw http.ResponseWriter, _ *http.Request) { reply(rw, w.Records()) }
 
-// fault sets a worker's faults: {"leaving":BOOL,"broken":BOOL,"reboot":BOOL}.
+// fault sets a worker's faults: {"leaving":BOOL,"broken":BOOL,"reboot":BOOL}. A
+// reboot with an "order" is carried out once, however often it arrives.
 func (w *Worker) fault(rw http.ResponseWriter, r *http.Request) {
 	var in struct {
-		Leaving *bool `json:"leaving"`
-		Broken  *bool `json:"broken"`
-		Reboot  bool  `json:"reboot"`
+		Leaving *bool  `json:"leaving"`
+		Broken  *bool  `json:"broken"`
+		Reboot  bool   `json:"reboot"`
+		Order   string `json:"order"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
 		http.Error(rw, err.Error(), http.StatusBadRequest)
@@ -57,11 +59,24 @@
 	if in.Broken != nil {
 		w.SetBroken(*in.Broken)
 	}
-	if in.Reboot {
+	if in.Reboot && w.isNew(in.Order) {
 		w.Reboot()
 	}
 }
 
+// isNew tells whether a reboot order has not been carried out; one without a
+// name is always new.
+func (w *Worker) isNew(order string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if order == "" {
+		return true
+	}
+	seen := w.orders[order]
+	w.orders[order] = true
+	return !seen
+}
+
 // SetSlots changes the number of slots; tasks that run keep theirs.
 func (w *Worker) SetSlots(n int) {
 	w.mu.Lock()
--- a/fakes/platd/main.go
+++ b/fakes/platd/main.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"flag"
 	"fmt"
 	"net"
@@ -54,12 +55,26 @@
 	return nil
 }
 
+// rebootRetry is the pause before a reboot without an answer is passed on again,
+// and rebootTries bounds that: a platform carries out what it has accepted, also
+// when the worker's link is cut just then.
+const (
+	rebootRetry = 200 * time.Millisecond
+	rebootTries = 300
+)
+
+// reboot passes a reboot on until the worker has answered; the order's name lets
+// the worker carry it out once.
 func reboot(addr string) {
 	client := http.Client{Timeout: rebootTimeout}
-	res, err := client.Post("http://"+addr+"/fault", "application/json", strings.NewReader(`{"reboot":true}`))
-	if err != nil {
+	body := `{"reboot":true,"order":"` + rand.Text() + `"}`
+	for range rebootTries {
+		res, err := client.Post("http://"+addr+"/fault", "application/json", strings.NewReader(body))
+		if err == nil {
+			_ = res.Body.Close()
+			return
+		}
 		fmt.Fprintln(os.Stderr, "platd: reboot:", err)
-		return
+		time.Sleep(rebootRetry)
 	}
-	_ = res.Body.Close()
 }
--- a/fakes/worker.go
+++ b/fakes/worker.go
@@ -69,6 +69,7 @@
 
 	mu     sync.Mutex
 	boot   string
+	orders map[string]bool // reboot orders that were carried out
 	slots  int
 	busy   int
 	refuse bool // leaving
@@ -95,7 +96,7 @@
 // NewWorker returns a worker with WorkerSlots slots.
 func NewWorker(name string) *Worker {
 	w := &Worker{
-		name: name, mux: http.NewServeMux(), boot: rand.Text(), slots: table.WorkerSlots,
+		name: name, mux: http.NewServeMux(), boot: rand.Text(), orders: map[string]bool{}, slots: table.WorkerSlots,
 		tasks: map[string]*Task{}, starts: map[string]int{},
 	}
 	w.mux.HandleFunc("POST /run", w.run)
