--- a/agent/agent.go
+++ b/agent/agent.go
@@ -18,10 +18,10 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"shallotpaddle/elect"
+	"shallotpaddle/fleet"
 	"shallotpaddle/owner"
 	"shallotpaddle/platform"
 	"shallotpaddle/policy"
-	"shallotpaddle/steward"
 )
 
 const (
@@ -68,7 +68,7 @@
 	mu     sync.Mutex
 	owners map[string]*running // by pool
 	wake   chan struct{}       // an owner was added
-	waves  map[string]steward.Wave
+	waves  map[string]fleet.Wave
 }
 
 // running is an owner that this entry runs.
@@ -84,7 +84,7 @@
 	a := &Agent{
 		metrics: metricsAddr, clock: clock, log: logger, reg: metrics.NewRegistry(),
 		store: platform.NewStore(set.Store, clock), workers: platform.NewWorkers(), fleet: platform.NewFleet(set.Fleet),
-		owners: map[string]*running{}, waves: map[string]steward.Wave{}, wake: make(chan struct{}, 1),
+		owners: map[string]*running{}, waves: map[string]fleet.Wave{}, wake: make(chan struct{}, 1),
 	}
 	a.settings.Store(set)
 	a.stats = owner.NewStats(a.reg)
@@ -221,7 +221,7 @@
 			Grant: a.store.Grant, Renew: a.store.Renew, Revoke: a.store.Revoke,
 		},
 		Won: func(t elect.Term) {
-			if t.Pool == steward.Seat {
+			if t.Pool == fleet.Seat {
 				a.startSteward(ctx, t)
 				return
 			}
@@ -265,7 +265,7 @@
 
 func (a *Agent) startSteward(ctx context.Context, t elect.Term) {
 	run, stop := context.WithCancel(ctx)
-	s := steward.New(steward.Params{
+	s := fleet.New(fleet.Params{
 		Name: a.set().Name, Lead: elect.LeadKey(t.Pool), Fence: t.Fence, Quiet: a.set().Bounds.Lease + quietMargin,
 		Down: a.set().Bounds.Upkeep, Clock: a.clock, Log: a.log, Policy: a.version.Load, Waves: a.waveList,
 		List: a.store.List, Commit: a.store.Commit, Hosts: a.fleet.Hosts, Move: a.fleet.Move, Upkeep: a.fleet.Maintain,
@@ -277,7 +277,7 @@
 	a.keep(t, nil, stop)
 	go func() {
 		defer stop()
-		if err := s.Run(run); errors.Is(err, steward.ErrDeposed) {
+		if err := s.Run(run); errors.Is(err, fleet.ErrDeposed) {
 			a.elector.GiveUp(t.Pool)
 		}
 	}()
--- a/agent/follow.go
+++ b/agent/follow.go
@@ -8,11 +8,11 @@
 	"slices"
 	"time"
 
+	"shallotpaddle/fleet"
 	"shallotpaddle/hosts"
 	"shallotpaddle/owner"
 	"shallotpaddle/plat"
 	"shallotpaddle/platform"
-	"shallotpaddle/steward"
 )
 
 const (
@@ -80,7 +80,7 @@
 
 // followPlan tells owners which workers the steward wants emptied.
 func (a *Agent) followPlan(ctx context.Context) {
-	a.follow(ctx, watch{steward.PlanPrefix, planWait, func(it plat.Item) {
+	a.follow(ctx, watch{fleet.PlanPrefix, planWait, func(it plat.Item) {
 		p, err := decodePlan(it)
 		if err != nil {
 			a.log.Error().Str("key", it.Key).Err(err).Msg("plan not readable")
@@ -96,8 +96,8 @@
 	}})
 }
 
-func decodePlan(it plat.Item) (*steward.Plan, error) {
-	p := &steward.Plan{}
+func decodePlan(it plat.Item) (*fleet.Plan, error) {
+	p := &fleet.Plan{}
 	if it.Gone {
 		return p, nil
 	}
@@ -106,12 +106,12 @@
 
 // wishes reads the steward's plan for one pool.
 func (a *Agent) wishes(ctx context.Context, pool string) (owner.Wishes, error) {
-	items, _, err := a.store.List(ctx, steward.PlanKey)
+	items, _, err := a.store.List(ctx, fleet.PlanKey)
 	if err != nil {
 		return owner.Wishes{}, err
 	}
 	for _, it := range items {
-		if it.Key != steward.PlanKey {
+		if it.Key != fleet.PlanKey {
 			continue
 		}
 		p, err := decodePlan(it)
@@ -137,16 +137,16 @@
 		return
 	}
 	if _, known := a.waves[it.Key]; !known {
-		a.waves[it.Key] = steward.Wave{Wave: w, Seen: a.clock.Now()}
+		a.waves[it.Key] = fleet.Wave{Wave: w, Seen: a.clock.Now()}
 		a.log.Info().Str("wave", w.Number).Int("hosts", len(w.Hosts)).Int("most", w.Most).Dur("within", w.Within).Msg("wave asked for")
 	}
 }
 
 // waveList returns the waves that were asked for, in order.
-func (a *Agent) waveList() []steward.Wave {
+func (a *Agent) waveList() []fleet.Wave {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	out := make([]steward.Wave, 0, len(a.waves))
+	out := make([]fleet.Wave, 0, len(a.waves))
 	for _, k := range slices.Sorted(maps.Keys(a.waves)) {
 		out = append(out, a.waves[k])
 	}
@@ -177,7 +177,7 @@
 	for _, p := range v.Pools {
 		names = append(names, p.Name)
 	}
-	a.elector.SetPools(append(names, steward.Seat))
+	a.elector.SetPools(append(names, fleet.Seat))
 }
 
 // followWorkers tells owners which workers are registered.
--- a/fakes/crew.go
+++ b/fakes/crew.go
@@ -120,20 +120,6 @@
 	c.workers[id].Draining, c.workers[id].Left = true, left
 }
 
-// Ask makes a job known to the checks.
-func (c *Crew) Ask(j *steps.Job) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.jobs[j.ID] = j
-}
-
-// Cancelled makes a cancellation known to the checks.
-func (c *Crew) Cancelled(id string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.cancels[id] = time.Now()
-}
-
 // Registered returns the workers that the platform would list.
 func (c *Crew) Registered() []hosts.Worker {
 	c.mu.Lock()
@@ -147,26 +133,6 @@
 	return out
 }
 
-// Faults returns the promises that were broken.
-func (c *Crew) Faults() []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return slices.Clone(c.faults)
-}
-
-// Fails returns how often the subtask of a job that failed most has failed.
-func (c *Crew) Fails(job string) int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	n := 0
-	for t, fails := range c.fails {
-		if t.Job == job {
-			n = max(n, fails)
-		}
-	}
-	return n
-}
-
 // Starts returns the number of runs that began.
 func (c *Crew) Starts() int {
 	c.mu.Lock()
@@ -187,11 +153,6 @@
 	return out
 }
 
-// Fault notes a promise that a test found broken.
-func (c *Crew) fault(format string, args ...any) {
-	c.faults = append(c.faults, fmt.Sprintf(format, args...))
-}
-
 // call makes one call to a worker.
 func (c *Crew) call(ctx context.Context, to runs.Target, op string, do func(w *Worked) error) error {
 	trouble := Smooth
@@ -374,62 +335,6 @@
 	}
 }
 
-// check holds a start against what was promised.
-func (c *Crew) check(w *Worked, s runs.Start, j *steps.Job, step *steps.Step) {
-	for id, o := range c.workers {
-		if r := o.running[s.Task]; r != nil && o.up {
-			c.fault("TWICE %s run %d on %s while run %d is on %s", s.Task, s.Run, w.ID, r.run, id)
-		}
-	}
-	if c.done[s.Task] {
-		c.fault("TWICE %s run %d on %s after its end", s.Task, s.Run, w.ID)
-	}
-	if !step.Fills && w.used.CPU+step.CPU > w.Room.CPU || w.used.Mem+step.Mem > w.Room.Mem {
-		c.fault("LIMIT %s on %s", s.Task, w.ID)
-	}
-	for _, a := range step.After {
-		if !c.stepEnded(j, s.Task.Occur, a) {
-			c.fault("ORDER %s before step %d", s.Task, a)
-		}
-	}
-	if time.Now().Before(j.Due(s.Task.Occur).Add(-early)) {
-		c.fault("ORDER %s before its time", s.Task)
-	}
-	same := 0
-	for t := range w.running {
-		if t.Job == s.Task.Job && t.Step == s.Task.Step && t.Occur == s.Task.Occur {
-			same++
-		}
-	}
-	if step.PerHost > 0 && same >= step.PerHost {
-		c.fault("ROUTE %s beyond the limit of one worker", s.Task)
-	}
-	if !step.Lasting && j.Tries > 0 && c.failed[s.Task] >= j.Tries {
-		c.fault("BUDGET %s", s.Task)
-	}
-	if at, ok := c.cancels[j.ID]; ok && time.Since(at) > cancelBound {
-		c.fault("UNASKED %s after its cancellation", s.Task)
-	}
-}
-
-// stepEnded tells whether every subtask of a step has ended done; one end
-// stands for all of a gang.
-func (c *Crew) stepEnded(j *steps.Job, occur, step int) bool {
-	n := 0
-	for i := range j.Steps[step].Count {
-		if c.ended[runs.Task{Job: j.ID, Occur: occur, Step: step, Index: i}] {
-			n++
-		}
-	}
-	return n == j.Steps[step].Count || n > 0 && j.Steps[step].Gang
-}
-
-// Bounds of the checks.
-const (
-	early       = 250 * time.Millisecond
-	cancelBound = 3 * time.Second
-)
-
 // Stop ends a run and bars it.
 func (c *Crew) Stop(ctx context.Context, to runs.Target, s runs.Stop) (r runs.Reply, err error) {
 	err = c.call(ctx, to, "stop", func(w *Worked) error {
@@ -501,20 +406,6 @@
 	})
 }
 
-func (c *Crew) note(e runs.End) {
-	if c.Noted != nil {
-		if fault := c.Noted(e); fault != "" {
-			c.fault("%s", fault)
-		}
-	}
-	switch e.How {
-	case runs.Done:
-		c.done[e.Task] = true
-	case runs.Failed:
-		c.failed[e.Task]++
-	}
-}
-
 func (c *Crew) report(w *Worked) runs.Report {
 	r := runs.Report{Reply: w.reply(), Ended: slices.Clone(w.ends)}
 	for t, v := range w.running {
--- a/steward/steward.go
+++ b/fleet/fleet.go
@@ -1,7 +1,7 @@
-// Package steward gives orders on hosts: it moves them between pools and has
+// Package fleet gives orders on hosts: it moves them between pools and has
 // them maintained. One entry at a time is elected to run it. Owners of pools
 // empty the hosts that its plan names before it gives the order.
-package steward
+package fleet
 
 import (
 	"context"
--- a/steward/steward_test.go
+++ b/fleet/fleet_test.go
@@ -1,4 +1,4 @@
-package steward_test
+package fleet_test
 
 import (
 	"context"
@@ -17,11 +17,11 @@
 
 	"shallotpaddle/elect"
 	"shallotpaddle/fakes"
+	"shallotpaddle/fleet"
 	"shallotpaddle/hosts"
 	"shallotpaddle/owner"
 	"shallotpaddle/plat"
 	"shallotpaddle/policy"
-	"shallotpaddle/steward"
 )
 
 const (
@@ -30,8 +30,8 @@
 	cpu   = 32000
 )
 
-// fleet is a fleet service that checks the orders it gets.
-type fleet struct {
+// service is a fleet service that checks the orders it gets.
+type service struct {
 	t    *testing.T
 	kv   *fakes.KV
 	most int
@@ -52,8 +52,8 @@
 	at time.Time
 }
 
-func newFleet(t *testing.T) *fleet {
-	f := &fleet{t: t, kv: fakes.NewKV(), fence: map[string]int64{}, done: map[string]bool{}}
+func newService(t *testing.T) *service {
+	f := &service{t: t, kv: fakes.NewKV(), fence: map[string]int64{}, done: map[string]bool{}}
 	for i := range 6 {
 		h := hosts.Host{Name: fmt.Sprintf("m-%d", i), Pool: "a", State: hosts.Up, Room: hosts.Room{CPU: cpu}}
 		if i >= 4 {
@@ -66,28 +66,28 @@
 	return f
 }
 
-func (f *fleet) life() string { f.lives++; return fmt.Sprintf("i-%d", f.lives) }
+func (f *service) life() string { f.lives++; return fmt.Sprintf("i-%d", f.lives) }
 
-func (f *fleet) list(context.Context) ([]hosts.Host, error) {
+func (f *service) list(context.Context) ([]hosts.Host, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return slices.Clone(f.hosts), nil
 }
 
-func (f *fleet) plan() steward.Plan {
-	var p steward.Plan
-	if it, ok := f.kv.Peek(steward.PlanKey); ok {
+func (f *service) plan() fleet.Plan {
+	var p fleet.Plan
+	if it, ok := f.kv.Peek(fleet.PlanKey); ok {
 		require.NoError(f.t, json.Unmarshal(it.Value, &p))
 	}
 	return p
 }
 
-func (f *fleet) fault(format string, args ...any) {
+func (f *service) fault(format string, args ...any) {
 	f.faults = append(f.faults, fmt.Sprintf(format, args...))
 }
 
 // carry checks and carries out an order.
-func (f *fleet) carry(o hosts.Order, state hosts.State) error {
+func (f *service) carry(o hosts.Order, state hosts.State) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.orders = append(f.orders, order{o, time.Now()})
@@ -101,7 +101,7 @@
 		return nil // done or under way already
 	}
 	f.done[o.Host+o.Wave] = true
-	planned := slices.ContainsFunc(f.plan().Tasks, func(t steward.Task) bool { return t.Host == o.Host && t.Ordered })
+	planned := slices.ContainsFunc(f.plan().Tasks, func(t fleet.Task) bool { return t.Host == o.Host && t.Ordered })
 	if !planned {
 		f.fault("%s: the order is not on the plan", o.Host)
 	}
@@ -130,7 +130,7 @@
 	return nil
 }
 
-func (f *fleet) back(name string) {
+func (f *service) back(name string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for i := range f.hosts {
@@ -143,7 +143,7 @@
 	}
 }
 
-func (f *fleet) digest(pool string) owner.Digest {
+func (f *service) digest(pool string) owner.Digest {
 	var d owner.Digest
 	if it, ok := f.kv.Peek(owner.DigestKey(pool)); ok {
 		require.NoError(f.t, json.Unmarshal(it.Value, &d))
@@ -152,7 +152,7 @@
 }
 
 // own plays the owner of pool a: it empties workers a while after they are to be.
-func (f *fleet) own(ctx context.Context, want int) {
+func (f *service) own(ctx context.Context, want int) {
 	for ctx.Err() == nil {
 		p := f.plan()
 		time.Sleep(300 * time.Millisecond)
@@ -171,15 +171,15 @@
 }
 
 // lead starts a steward and returns how to end it.
-func (f *fleet) lead(ctx context.Context, name string, q time.Duration, waves []steward.Wave) context.CancelFunc {
+func (f *service) lead(ctx context.Context, name string, q time.Duration, waves []fleet.Wave) context.CancelFunc {
 	ctx, cancel := context.WithCancel(ctx)
-	key := elect.LeadKey(steward.Seat)
+	key := elect.LeadKey(fleet.Seat)
 	fence := f.kv.Put(key, []byte(name))
 	v := &policy.Version{Number: 1, Pools: []policy.Pool{{Name: "a"}, {Name: "off", Standby: true}}}
-	s := steward.New(steward.Params{
+	s := fleet.New(fleet.Params{
 		Name: name, Lead: key, Fence: fence, Quiet: q, Down: down, Clock: quartz.NewReal(),
 		Log:    &log.Logger{Writer: log.IOWriter{Writer: io.Discard}},
-		Policy: func() *policy.Version { return v }, Waves: func() []steward.Wave { return waves },
+		Policy: func() *policy.Version { return v }, Waves: func() []fleet.Wave { return waves },
 		List: f.kv.List, Commit: f.kv.Commit, Hosts: f.list,
 		Move:   func(_ context.Context, o hosts.Order) error { return f.carry(o, hosts.Moving) },
 		Upkeep: func(_ context.Context, o hosts.Order) error { return f.carry(o, hosts.Upkeep) },
@@ -191,20 +191,20 @@
 	return cancel
 }
 
-func (f *fleet) status(wave string) string {
+func (f *service) status(wave string) string {
 	it, _ := f.kv.Peek("status/" + wave)
 	return string(it.Value)
 }
 
-func wave(most int, names ...string) []steward.Wave {
-	return []steward.Wave{{Wave: policy.Wave{Number: "1", Hosts: names, Within: 26 * time.Second, Most: most}, Seen: time.Now()}}
+func wave(most int, names ...string) []fleet.Wave {
+	return []fleet.Wave{{Wave: policy.Wave{Number: "1", Hosts: names, Within: 26 * time.Second, Most: most}, Seen: time.Now()}}
 }
 
 // TestWaveOverHandover has the steward end in the middle of a wave, with an
 // answer lost: the next one goes on, after a pause, and every host is maintained.
 func TestWaveOverHandover(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t)
+		f := newService(t)
 		f.most, f.lose = 2, 1
 		ctx, cancel := context.WithCancel(context.Background())
 		defer time.Sleep(5 * time.Second) // for what is under way
@@ -234,7 +234,7 @@
 // TestMovesIntoAskedPool has a pool ask for more than it holds.
 func TestMovesIntoAskedPool(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t)
+		f := newService(t)
 		ctx, cancel := context.WithCancel(context.Background())
 		defer time.Sleep(5 * time.Second) // for what is under way
 		defer cancel()
@@ -253,7 +253,7 @@
 // TestDeposedStewardGivesNoOrders has another steward elected while one runs.
 func TestDeposedStewardGivesNoOrders(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t)
+		f := newService(t)
 		f.most = 1
 		ctx, cancel := context.WithCancel(context.Background())
 		defer time.Sleep(5 * time.Second) // for what is under way
@@ -261,7 +261,7 @@
 		go f.own(ctx, 0)
 		f.lead(ctx, "e-1", 0, wave(1, "m-0", "m-1", "m-2"))
 		time.Sleep(1500 * time.Millisecond)
-		f.kv.Put(elect.LeadKey(steward.Seat), []byte("e-2"))
+		f.kv.Put(elect.LeadKey(fleet.Seat), []byte("e-2"))
 		time.Sleep(500 * time.Millisecond)
 		n := len(f.orders)
 		time.Sleep(10 * time.Second)
--- a/steward/order.go
+++ b/fleet/order.go
@@ -1,4 +1,4 @@
-package steward
+package fleet
 
 import (
 	"context"
