steps: count each failed run once, in whatever order its end is read

Cause: a subtask counted a failure only if its run was above the last failed one.

Ruled out: a start before the takeover was done; all ends had been read.

Change: a subtask lists its failed runs. A failure that is read after a later run has started, and would have left no attempt for it, is withheld like an end as done that is superseded: it is not acknowledged and doesn't count.

The simulated workers check at each acknowledgement that no run started after the last attempt had failed. TestFailuresUnderOutageAreCounted, TestFailureReadAfterRestartDoesNotCount and TestFailuresCountInAnyOrder failed before.

--- a/fakes/check.go
+++ b/fakes/check.go
@@ -129,5 +129,30 @@
 		}
 	case runs.Failed:
 		ws.ackedFailures[e.Task]++
+		endedAt := w.endedAt[e.Number]
+		if w.leaseExpiredAt.After(endedAt) {
+			return
+		}
+		ws.ackedFailedAt[e.Task] = append(ws.ackedFailedAt[e.Task], endedAt)
+		ws.checkBudget(e)
+	}
+}
+
+// checkBudget checks that no run of a subtask started after its last attempt had
+// failed, counting the failures that are acknowledged by now.
+func (ws *WorkerSet) checkBudget(e runs.End) {
+	j := ws.jobs[e.Task.Job]
+	step := &j.Steps[e.Task.Step]
+	if step.LongRunning || step.Gang || j.MaxAttempts == 0 {
+		return
+	}
+	before := 0
+	for _, at := range ws.ackedFailedAt[e.Task] {
+		if at.Before(ws.lastStarts[e.Task]) {
+			before++
+		}
+	}
+	if before >= j.MaxAttempts {
+		ws.recordViolation("BUDGET %s started again after %d runs had failed, and the end of run %d is acknowledged", e.Task, before, e.Run)
 	}
 }
--- a/fakes/workerset.go
+++ b/fakes/workerset.go
@@ -33,9 +33,12 @@
 	mu            sync.Mutex
 	workers       map[string]*workerState
 	jobs          map[string]*steps.Job
-	reportedDone  map[runs.Task]bool   // ended as Done, and a report has listed the end
-	ackedDone     map[runs.Task]bool   // ended as Done, and the end is acknowledged
-	ackedFailures map[runs.Task]int    // number of acknowledged ends as Failed
+	reportedDone  map[runs.Task]bool // ended as Done, and a report has listed the end
+	ackedDone     map[runs.Task]bool // ended as Done, and the end is acknowledged
+	ackedFailures map[runs.Task]int  // number of acknowledged ends as Failed
+	// ackedFailedAt has the times of the acknowledged ends as Failed that no expiry of
+	// the worker's lease followed.
+	ackedFailedAt map[runs.Task][]time.Time
 	failures      map[runs.Task]int    // number of all ends as Failed
 	cancelledAt   map[string]time.Time // by job ID
 	violations    []string
@@ -91,7 +94,7 @@
 func NewWorkerSet(maxLease time.Duration) *WorkerSet {
 	return &WorkerSet{
 		MaxLease: maxLease, workers: map[string]*workerState{}, jobs: map[string]*steps.Job{}, ackedDone: map[runs.Task]bool{},
-		reportedDone: map[runs.Task]bool{}, ackedFailures: map[runs.Task]int{}, failures: map[runs.Task]int{}, cancelledAt: map[string]time.Time{},
+		reportedDone: map[runs.Task]bool{}, ackedFailures: map[runs.Task]int{}, ackedFailedAt: map[runs.Task][]time.Time{}, failures: map[runs.Task]int{}, cancelledAt: map[string]time.Time{},
 		lastStarts: map[runs.Task]time.Time{},
 	}
 }
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -264,7 +264,7 @@
 	}
 	j.progress.RecordEnd(t, e.Run, e.Outcome, e.Checkpoint)
 	o.Log.Info().Str("job", j.id()).Str("task", e.Task.String()).Int("run", e.Run).Str("host", h.id).
-		Str("how", string(e.Outcome)).Int("fails", t.Failures).Int64("number", e.Number).Msg("run ended")
+		Str("how", string(e.Outcome)).Int("fails", len(t.FailedRuns)).Int64("number", e.Number).Msg("run ended")
 	o.passNeeded = true
 	if e.Outcome == runs.Done || e.Outcome == runs.Failed || e.Checkpoint != "" {
 		o.markChanged(&j.doc)
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -164,15 +164,27 @@
 	}
 }
 
-// superseded reports whether a run ended as done although its subtask has, or may
-// have, started again: the worker had been given up before its end was read.
+// superseded reports whether the end of a run must not count, as its subtask has
+// started again since: the worker had been given up before the end was read. That
+// is so for a run that ended as done, and for a failure after which the subtask had
+// no attempt left.
 func (o *Owner) superseded(e runs.End) bool {
 	j := o.jobs[e.Task.Job]
-	if j == nil || e.Outcome != runs.Done {
+	if j == nil {
 		return false
 	}
 	t := j.progress.Task(e.Task)
-	return t != nil && !t.Step.LongRunning && !t.Step.Speculative && (e.Run < t.Run || e.Run <= t.HighestVoidRun)
+	if t == nil || t.Step.LongRunning || t.Step.Speculative {
+		return false
+	}
+	switch e.Outcome {
+	case runs.Done:
+		return e.Run < t.Run || e.Run <= t.HighestVoidRun
+	case runs.Failed:
+		return t.ExceedsAttempts(e.Run)
+	default:
+		return false
+	}
 }
 
 // withholdAck ignores an end and never acknowledges it. The later run counts; a
--- a/owner/rules_test.go
+++ b/owner/rules_test.go
@@ -4,13 +4,16 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"shallotpaddle/fakes"
 	"shallotpaddle/owner"
+	"shallotpaddle/runs"
 	"shallotpaddle/steps"
 )
 
@@ -109,3 +112,53 @@
 		require.Zero(t, pending())
 	})
 }
+
+// BUDGET: subtasks fail their last attempt on several workers while the store takes
+// no writes. The next owner reads the ends from the workers, in any order, and must
+// count each of them.
+func TestFailuresUnderOutageAreCounted(t *testing.T) {
+	pool := withoutFaults(t, 6, func(ctx context.Context, pool *testPool) {
+		pool.workers.DecideRun = func(runs.Task, int) (time.Duration, runs.Outcome) { return 200 * time.Millisecond, runs.Failed }
+		var down atomic.Bool
+		pool.kv.InjectFault = func(op, _ string) fakes.CallFault {
+			if down.Load() && op == "commit" {
+				return fakes.RefuseCall
+			}
+			return fakes.NoFault
+		}
+		for i := range 20 {
+			pool.submit(&steps.Job{ID: fmt.Sprintf("%016x", i), Queue: "q", MaxAttempts: 3, Steps: []steps.Step{{Count: 1, CPU: 1500}}})
+		}
+		down.Store(true)
+		time.Sleep(3 * time.Second)
+		pool.kill(ctx, pool.leader())
+		down.Store(false)
+		time.Sleep(60 * time.Second)
+	})
+	require.Equal(t, 60, pool.workers.Starts())
+	require.Zero(t, pool.countOpen())
+}
+
+// BUDGET: a subtask has failed its last attempt on a worker that is cut off before
+// the end is read, and starts again elsewhere. The end must not count when the worker
+// answers again.
+func TestFailureReadAfterRestartDoesNotCount(t *testing.T) {
+	pool := withoutFaults(t, 2, func(_ context.Context, pool *testPool) {
+		pool.workers.DecideRun = func(_ runs.Task, run int) (time.Duration, runs.Outcome) {
+			if run == 1 {
+				return 500 * time.Millisecond, runs.Failed
+			}
+			return time.Minute, runs.Done
+		}
+		id := fmt.Sprintf("%016x", 1)
+		pool.submit(&steps.Job{ID: id, Queue: "q", MaxAttempts: 1, Steps: []steps.Step{{Count: 1, CPU: 1500}}})
+		time.Sleep(300 * time.Millisecond)
+		at := pool.workers.Running()[runs.Task{Job: id}]
+		require.NotEmpty(t, at)
+		pool.workers.SetUnreachable(at, true)
+		time.Sleep(15 * time.Second)
+		pool.workers.SetUnreachable(at, false)
+		time.Sleep(80 * time.Second)
+	})
+	require.Zero(t, pool.countOpen())
+}
--- a/steps/record.go
+++ b/steps/record.go
@@ -19,8 +19,7 @@
 	Step           int    `json:"s,omitempty"`
 	Index          int    `json:"i,omitempty"`
 	Done           bool   `json:"d,omitempty"`
-	Failures       int    `json:"f,omitempty"`
-	LastFailedRun  int    `json:"l,omitempty"`
+	FailedRuns     []int  `json:"f,omitempty"`
 	Run            int    `json:"r,omitempty"`
 	Checkpoint     string `json:"c,omitempty"`
 	HighestVoidRun int    `json:"v,omitempty"`
@@ -32,13 +31,13 @@
 	r := Record{Queue: p.Job.Queue, State: p.Outcome, Started: p.Started}
 	p.Each(func(task *Task) {
 		done := task.Phase == Finished
-		needed := p.Outcome == Open && (done || task.Failures > 0 || task.Checkpoint != "")
+		needed := p.Outcome == Open && (done || len(task.FailedRuns) > 0 || task.Checkpoint != "")
 		if !needed && task.HighestVoidRun == 0 {
 			return
 		}
 		r.Tasks = append(r.Tasks, TaskRecord{
 			Occur: task.ID.Occur, Step: task.ID.Step, Index: task.ID.Index,
-			Done: done, Failures: task.Failures, LastFailedRun: task.LastFailedRun, Run: task.Run, Checkpoint: task.Checkpoint, HighestVoidRun: task.HighestVoidRun,
+			Done: done, FailedRuns: task.FailedRuns, Run: task.Run, Checkpoint: task.Checkpoint, HighestVoidRun: task.HighestVoidRun,
 		})
 	})
 	return r
@@ -53,7 +52,7 @@
 			continue
 		}
 		task.Run = max(task.Run, v.Run)
-		task.Failures, task.LastFailedRun, task.Checkpoint, task.HighestVoidRun = v.Failures, v.LastFailedRun, v.Checkpoint, v.HighestVoidRun
+		task.FailedRuns, task.Checkpoint, task.HighestVoidRun = v.FailedRuns, v.Checkpoint, v.HighestVoidRun
 		if v.Done && task.Phase != Finished {
 			p.finish(task)
 		}
--- a/steps/track.go
+++ b/steps/track.go
@@ -1,6 +1,7 @@
 package steps
 
 import (
+	"slices"
 	"time"
 
 	"shallotpaddle/runs"
@@ -27,9 +28,10 @@
 	Phase Phase
 	// Run is the highest run number that may have been used.
 	Run int
-	// Failures counts failed runs; LastFailedRun is the last one.
-	Failures      int
-	LastFailedRun int
+	// FailedRuns has the failed runs, in the order in which their ends were read. Each
+	// is listed once. Long-running subtasks, which may fail any number of times, and
+	// members of a gang but the first have none.
+	FailedRuns []int
 	// Checkpoint is the newest checkpoint, empty if there is none.
 	Checkpoint string
 	// WorkerID is the worker that has the run, in the phases Starting, Running and
@@ -274,19 +276,48 @@
 }
 
 func (p *Progress) recordFailure(task *Task, run int) {
-	if task.Step.Gang {
-		task = task.Siblings()[0] // failures of a gang are counted at its first member
+	if task.Step.LongRunning {
+		return
 	}
-	if run <= task.LastFailedRun {
-		return // counted already; an earlier owner may have recorded it without acknowledging it to the worker
+	task = task.failureCounter()
+	if slices.Contains(task.FailedRuns, run) {
+		return // an earlier owner may have recorded it without acknowledging it to the worker
 	}
-	task.Failures++
-	task.LastFailedRun = max(task.LastFailedRun, run)
-	if !task.Step.LongRunning && p.Job.MaxAttempts > 0 && task.Failures >= p.Job.MaxAttempts && p.Outcome == Open {
+	task.FailedRuns = append(task.FailedRuns, run)
+	if p.Job.MaxAttempts > 0 && len(task.FailedRuns) >= p.Job.MaxAttempts && p.Outcome == Open {
 		p.Outcome = Failed
 	}
 }
 
+// failureCounter returns the subtask at which failures of t are counted: the first
+// member of its gang, or t itself.
+func (t *Task) failureCounter() *Task {
+	if t.Step.Gang {
+		return t.Siblings()[0]
+	}
+	return t
+}
+
+// ExceedsAttempts tells whether the latest run would have started after the last
+// allowed attempt had failed, if the failure of an earlier run were counted now. That
+// happens if the worker of the earlier run was given up before its end was read.
+func (t *Task) ExceedsAttempts(run int) bool {
+	most := t.Progress.Job.MaxAttempts
+	if t.Step.LongRunning || most == 0 || run >= t.Run {
+		return false
+	}
+	earlier := 1
+	for _, failed := range t.failureCounter().FailedRuns {
+		if failed == run {
+			return false
+		}
+		if failed != t.Run {
+			earlier++
+		}
+	}
+	return earlier >= most
+}
+
 // CriticalPath returns the time of the longest chain of unfinished steps, from the
 // expected run time of each step.
 func (p *Progress) CriticalPath(expected func(*Step) time.Duration) time.Duration {
@@ -306,7 +337,7 @@
 			}
 			longest = max(longest, ends[s])
 		}
-		break // occurrences don'p wait for each other
+		break // occurrences don't wait for each other
 	}
 	return longest
 }
--- a/steps/track_test.go
+++ b/steps/track_test.go
@@ -72,10 +72,47 @@
 	second.Restore(first.Record())
 	require.False(t, runAndEnd(second, 0, 0, 1, runs.Failed))
 	require.Equal(t, steps.Open, second.Outcome)
-	require.Equal(t, 1, second.Task(runs.Task{Job: first.Job.ID}).Failures)
+	require.Equal(t, []int{1}, second.Task(runs.Task{Job: first.Job.ID}).FailedRuns)
 	require.True(t, runAndEnd(second, 0, 0, 2, runs.Failed))
 }
 
+// A store outage keeps failures from being recorded, and the next owner reads the
+// ends from several workers, in any order: each run counts once.
+func TestFailuresCountInAnyOrder(t *testing.T) {
+	for _, order := range [][]int{{1, 2, 3}, {1, 3, 2}, {2, 1, 3}, {2, 3, 1}, {3, 1, 2}, {3, 2, 1}} {
+		j := job(steps.Step{Count: 1})
+		j.MaxAttempts = 3
+		progress := steps.NewProgress(j)
+		for i, run := range order {
+			ended := runAndEnd(progress, 0, 0, run, runs.Failed)
+			require.Equal(t, i == 2, ended, "order %v, run %d", order, run)
+			restored := steps.NewProgress(j)
+			restored.Restore(progress.Record())
+			require.Equal(t, ended, runAndEnd(restored, 0, 0, run, runs.Failed), "run %d is counted already", run)
+		}
+		require.Equal(t, steps.Failed, progress.Outcome, "order %v", order)
+	}
+}
+
+func TestExceedsAttempts(t *testing.T) {
+	for name, c := range map[string]struct {
+		failed      []int
+		latest, run int
+		want        bool
+	}{
+		"the latest run itself":                       {[]int{1}, 2, 2, false},
+		"an earlier run while attempts are left":      {nil, 2, 1, false},
+		"the last attempt, before the latest run":     {[]int{1}, 3, 2, true},
+		"the last attempt, the latest run failed too": {[]int{3}, 3, 2, false},
+		"counted already":                             {[]int{1, 2}, 3, 2, false},
+	} {
+		progress := steps.NewProgress(job(steps.Step{Count: 1}))
+		task := progress.Task(runs.Task{Job: progress.Job.ID})
+		task.FailedRuns, task.Run = c.failed, c.latest
+		require.Equal(t, c.want, task.ExceedsAttempts(c.run), name)
+	}
+}
+
 func TestGangEndsAsOne(t *testing.T) {
 	progress := steps.NewProgress(job(steps.Step{Count: 3, Gang: true}))
 	for i := range 3 {
