owner: take reports as current for two waits of a poll

A poll that waits for an end in vain takes 1 s, so that just before it returns the last report is 2 s old.

Change: a report counts for 2.5 s. Availability counts a subtask as away after 4.5 s or more (notice), so one that went down unseen within that age is still allowed. TestReleaseOnManyIdleWorkers replays the polls and failed before.

--- a/owner/release.go
+++ b/owner/release.go
@@ -84,9 +84,11 @@
 	return unavailable < max(t.Step.MaxUnavailable, 1)
 }
 
-// maxReportAge is the age up to which a worker's last report counts as current.
-// Polls that wait for an end return within pollWait.
-const maxReportAge = pollWait + 500*time.Millisecond
+// maxReportAge is the age, from the sending of the poll, up to which a worker's last
+// report counts as current. Just before a poll that waits for an end returns, the
+// report of the one before it is two waits old. A subtask that has been down for no
+// longer than this doesn't count as unavailable yet.
+const maxReportAge = 2*pollWait + 500*time.Millisecond
 
 // isServing reports whether a long-running subtask is known to serve. On a worker
 // that does not answer, it may be down as well.
--- a/owner/release_test.go
+++ b/owner/release_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"testing"
 	"time"
@@ -98,6 +99,41 @@
 	}
 }
 
+// TestReleaseOnManyIdleWorkers replays a wave between peaks: the subtasks of one step
+// are on forty workers, whose polls wait for an end in vain and return one after the
+// other. The first subtask must be stopped within one round of polls.
+func TestReleaseOnManyIdleWorkers(t *testing.T) {
+	const workers = 40
+	r := newRig(t)
+	r.addJob(&steps.Job{ID: "wide", Steps: []steps.Step{{Count: workers, LongRunning: true, MaxUnavailable: 1}}}, true)
+	j := r.jobs["wide"]
+	rows := make([]*host, workers)
+	for i := range rows {
+		h := newHost(hosts.Worker{ID: fmt.Sprintf("w%d", i)})
+		task := j.progress.Task(runs.Task{Job: "wide", Index: i})
+		task.Phase, task.WorkerID, task.Run, task.Percent = steps.Running, h.id, 1, 100
+		r.hosts[h.id], rows[i] = h, h
+		r.reserveRoom(h, &placement{task: task, job: j, run: 1, confirmedAt: r.clock.Now()})
+	}
+	rows[0].releaseTask = 9
+	first := j.progress.Task(runs.Task{Job: "wide"})
+	begun := r.clock.Now()
+	for first.Phase != steps.Stopping && r.clock.Since(begun) < settled+2*pollWait {
+		r.clock.Advance(tickInterval)
+		for i, h := range rows {
+			// The answer to a poll arrives when the wait is over.
+			phase := time.Duration(i) * pollWait / workers
+			polls := (r.clock.Since(begun) - phase) / (pollWait + pollGap)
+			if polls >= 1 {
+				h.lastReport = begun.Add(phase + (polls-1)*(pollWait+pollGap))
+			}
+		}
+		r.stopOnReleased(r.clock.Now())
+	}
+	require.Equal(t, steps.Stopping, first.Phase)
+	require.Less(t, r.clock.Since(begun), settled+pollWait)
+}
+
 // TestReleaseWithdrawn checks that a worker whose release is withdrawn gets no work
 // before it has answered: the move or maintenance may have been carried out, which
 // ends the incarnation.
