shift: estimate a pool's demand from what its jobs will ask for in two seconds

The inflow was the work of the jobs of the last 0.7 s, five jobs whose sizes differ by a factor of ten, and all the work of a job counted at once although a job takes four seconds. The next pool's turn had to wait for hosts to come back.

Change: the inflow of a queue is counted in jobs, over a window that holds enough of them, times the mean work of its recent jobs. A pool's demand is what its jobs ask for now or, if more, what those that last two seconds more and the arrivals until then ask for (shift.DemandCPU).

--- a/owner/act.go
+++ b/owner/act.go
@@ -257,6 +257,7 @@
 	t.Phase, t.WorkerID, t.Run, t.PhaseSince, t.Percent = steps.Starting, h.id, run, now, 0
 	p := &placement{task: t, job: j, run: run, share: fullShare, leaseUntil: h.workerClock(now) + startLease.Milliseconds()}
 	o.reserveRoom(h, p)
+	j.lastStart = now
 	h.leaseUntil = max(h.leaseUntil, p.leaseUntil)
 	o.Stats.Starts.Inc(1)
 	if !j.progress.Started {
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"slices"
 	"time"
 
 	"shallotpaddle/pack"
 	"shallotpaddle/plat"
 	"shallotpaddle/runs"
+	"shallotpaddle/shift"
 	"shallotpaddle/steps"
 )
 
@@ -23,8 +25,9 @@
 	// activeTasks is the number of subtasks that have room reserved on a worker.
 	activeTasks int
 	// usedCPU is the CPU reserved for them, in thousandths of a core.
-	usedCPU int
-	endedAt time.Time // when this owner learned that the job has ended
+	usedCPU   int
+	lastStart time.Time // of a run of the job
+	endedAt   time.Time // when this owner learned that the job has ended
 	// longRunning is true if the job's subtasks run until the job is cancelled.
 	longRunning bool
 	// voidVersion is the version of the record that lists all void runs. Their
@@ -163,7 +166,7 @@
 		Bool("fresh", fresh).Int64("ageMs", o.Clock.Now().UnixMilli()-doc.Accepted).Msg("job added")
 }
 
-// recordInflow adds a job's work to the measured rate of arriving work.
+// recordInflow adds a job to the measured inflow of its queue, and to the demand.
 func (o *Owner) recordInflow(j *job) {
 	work := 0.0
 	for i := range j.progress.Job.Steps {
@@ -171,9 +174,24 @@
 			work += float64(s.Count*s.CPU) * o.expectedRunTime(j, s).Seconds()
 		}
 	}
-	now := o.Clock.Now()
-	o.inflow.Add(now, work)
-	o.demand = max(o.demand, o.inflow.ForecastCPU(now))
+	now, queue := o.Clock.Now(), j.progress.Job.Queue
+	f := o.inflows[queue]
+	if f == nil {
+		f = &shift.Inflow{}
+		o.inflows[queue] = f
+	}
+	f.Add(now, shift.WorkWithinHorizon(work, o.schedulingView(j).Remaining))
+	o.demand = max(o.demand+j.demandCPU(now), o.arrivingCPU(now))
+}
+
+// arrivingCPU returns the CPU, in thousandths of a core, of the jobs that are
+// expected to arrive within shift.Horizon.
+func (o *Owner) arrivingCPU(now time.Time) int {
+	n := 0
+	for _, f := range o.inflows {
+		n += f.ForecastCPU(now, shift.Horizon)
+	}
+	return n
 }
 
 // compareJobs orders jobs by rank, then by time of acceptance, then by ID.
@@ -342,20 +360,16 @@
 func (o *Owner) encodeDigest() []byte {
 	d := Digest{Waiting: map[string]int{}, Hosts: map[string]HostLoad{}, Released: map[string]int64{}}
 	now := o.Clock.Now()
-	late := 0
+	open := make([]shift.OpenJob, 0, len(o.openJobs))
 	for _, j := range o.openJobs {
 		if !j.progress.Started && j.progress.Job.Repetitions == 0 {
 			d.Waiting[j.progress.Job.Queue]++
 		}
 		d.MinWorkers = max(d.MinWorkers, minWorkers(j.progress.Job))
-		cpu := j.demandCPU(now)
-		if w := o.schedulingView(j); pack.Late(&w, now) {
-			late += cpu
-		} else {
-			d.DemandCPU += cpu
-		}
+		w := o.schedulingView(j)
+		open = append(open, shift.OpenJob{CPU: j.demandCPU(now), Remaining: j.remaining(w.Remaining, now), Late: pack.Late(&w, now)})
 	}
-	d.DemandCPU = max(d.DemandCPU, o.inflow.ForecastCPU(now)) + late/lateDivisor
+	d.DemandCPU = shift.DemandCPU(open, o.arrivingCPU(now))
 	for _, h := range o.hosts {
 		d.Hosts[h.id] = HostLoad{roundUpCPU(h.used.CPU), h.countLongRunning()}
 		if h.releaseTask != 0 && h.isEmpty() {
@@ -371,9 +385,17 @@
 	return b
 }
 
-// lateDivisor divides the demand of late work: such work can wait for quieter
-// times, while another pool's work can still be on time.
-const lateDivisor = 4
+// remaining returns the expected time until a job ends, from the length of its
+// critical path. Long-running jobs don't end.
+func (j *job) remaining(criticalPath time.Duration, now time.Time) time.Duration {
+	if j.longRunning {
+		return math.MaxInt64
+	}
+	if j.lastStart.IsZero() {
+		return criticalPath
+	}
+	return criticalPath - now.Sub(j.lastStart)
+}
 
 // demandCPU returns the CPU that a job's running and ready subtasks need, in
 // thousandths of a core.
@@ -429,7 +451,7 @@
 	if s := string(o.encodeDigest()); s != o.publishedDigest {
 		o.publishedDigest = s
 		o.publishedDemand = o.demand
-		o.Log.Info().Str("pool", o.Pool).Int("want", o.demand).Int("inflow", o.inflow.CPU(now)).Int("jobs", len(o.openJobs)).
+		o.Log.Info().Str("pool", o.Pool).Int("want", o.demand).Int("inflow", o.arrivingCPU(now)).Int("jobs", len(o.openJobs)).
 			Int("hosts", len(o.hosts)).Int("used", o.used()).Msg("demand published")
 		o.markChanged(o.digest)
 	}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -105,8 +105,8 @@
 	// demand is the CPU that running, waiting and expected work needs, and
 	// publishedDemand the one in the last digest, both in thousandths of a core.
 	demand, publishedDemand int
-	inflow                  shift.Inflow
-	digestDue               bool // a release has changed or a worker is empty: publish at once
+	inflows                 map[string]*shift.Inflow // by queue
+	digestDue               bool                     // a release has changed or a worker is empty: publish at once
 	// unanswered has the starts without an answer that may still be carried out, by
 	// worker ID.
 	unanswered        map[string][]unansweredStart
@@ -124,7 +124,7 @@
 func New(p Params) *Owner {
 	o := &Owner{
 		Params: p, inbox: make(chan any, inboxSize), done: make(chan struct{}), hosts: map[string]*host{}, jobs: map[string]*job{},
-		cancelRequests: map[string]struct{}{}, forecasts: map[string]*pack.Forecast{}, unanswered: map[string][]unansweredStart{},
+		cancelRequests: map[string]struct{}{}, forecasts: map[string]*pack.Forecast{}, inflows: map[string]*shift.Inflow{}, unanswered: map[string][]unansweredStart{},
 	}
 	o.roster = &doc{key: rosterKey(p.Pool), encode: o.encodeRoster}
 	o.digest = &doc{key: DigestKey(p.Pool), encode: o.encodeDigest}
--- a/shift/inflow.go
+++ b/shift/inflow.go
@@ -1,74 +1,108 @@
 package shift
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
-	// inflowWindow is the time over which arriving work is averaged: long enough for
-	// a handful of jobs at a queue's peak, but short against the time that a host
-	// needs to change its pool.
-	inflowWindow = 700 * time.Millisecond
-	// forecastHorizon is how far ahead a rise is extrapolated: about the time from an
-	// owner's digest until a host has changed its pool.
-	forecastHorizon = 1500 * time.Millisecond
-	// maxRiseFactor limits a forecast to this multiple of the present inflow, as a
-	// single large job is not the start of a peak.
+	// minInflowWindow is the shortest time over which the rate of arriving jobs is
+	// averaged: short against the time that a host needs to change its pool.
+	minInflowWindow = 700 * time.Millisecond
+	// maxInflowWindow is the longest, for queues of few jobs.
+	maxInflowWindow = 3 * minInflowWindow
+	// enoughArrivals is the number of arrivals from which a rate is known well enough:
+	// to about 30 %, as arrivals are random.
+	enoughArrivals = 12
+	// sizeMemory is the number of recent jobs over which their work is averaged. Sizes
+	// vary much more than their mean does.
+	sizeMemory = 32
+	// changeSignificance is the number of standard deviations of random arrivals by
+	// which a shorter window must differ from the longest to be used.
+	changeSignificance = 3
+	// maxRiseFactor limits a forecast to this multiple of the present inflow.
 	maxRiseFactor = 1.5
 )
 
-// Inflow measures the rate of work that arrives at a pool.
+// Inflow measures the rate of work that arrives in a queue.
 //
 // At the start of a peak, the inflow and its rise tell the coming demand earlier
 // than the waiting work does, by about the time that a host needs to change its
-// pool.
+// pool. Jobs of some queues are few and differ in size by a factor of ten: the rate
+// is counted in jobs, and multiplied by their mean work, so that one large job is
+// not taken for the start of a peak.
 type Inflow struct {
-	// arrivals has the arrivals of the last two windows, oldest first.
-	arrivals []arrival
-}
-
-type arrival struct {
-	at   time.Time
-	work float64 // thousandths of a core × seconds
+	// arrivals has the times of the arrivals of twice maxInflowWindow, oldest first.
+	arrivals []time.Time
+	// meanWork is the mean work of recent jobs, and jobs the number of jobs that count
+	// in it, at most sizeMemory.
+	meanWork float64
+	jobs     float64
 }
 
-// Add records arriving work, in thousandths of a core × seconds.
+// Add records a job that arrives. Work is the work in it that counts, in thousandths
+// of a core × seconds.
 func (f *Inflow) Add(now time.Time, work float64) {
 	f.expire(now)
-	f.arrivals = append(f.arrivals, arrival{now, work})
+	f.arrivals = append(f.arrivals, now)
+	f.jobs = min(f.jobs+1, sizeMemory)
+	f.meanWork += (work - f.meanWork) / f.jobs
 }
 
-// CPU returns the CPU that the work of the last window asks for, in thousandths of
-// a core.
+// CPU returns the CPU that the arriving work asks for, in thousandths of a core.
 func (f *Inflow) CPU(now time.Time) int {
-	_, recent := f.windows(now)
-	return int(recent)
+	_, recent, window := f.counts(now)
+	return int(recent / window.Seconds() * f.meanWork)
 }
 
 // ForecastCPU returns the CPU, in thousandths of a core, that arriving work will
-// ask for after the forecast horizon if the inflow goes on rising as it does now. If
-// the inflow falls or is steady, it returns the same as CPU.
-func (f *Inflow) ForecastCPU(now time.Time) int {
-	before, recent := f.windows(now)
-	rise := max(recent-before, 0) * forecastHorizon.Seconds() / inflowWindow.Seconds()
-	return int(min(recent+rise, maxRiseFactor*recent))
+// ask for after the horizon if the inflow goes on rising as it does now. If the
+// inflow falls, or rises by no more than random arrivals do, it returns the same as
+// CPU.
+func (f *Inflow) ForecastCPU(now time.Time, horizon time.Duration) int {
+	before, recent, window := f.counts(now)
+	expected := recent
+	if rise := recent - before; rise > math.Sqrt(recent+before) {
+		expected += min(rise*horizon.Seconds()/window.Seconds(), (maxRiseFactor-1)*recent)
+	}
+	return int(expected / window.Seconds() * f.meanWork)
 }
 
-// windows returns the CPU that the work of the last window but one, and of the last
-// window, asks for.
-func (f *Inflow) windows(now time.Time) (before, recent float64) {
+// counts returns the numbers of arrivals in the last window and in the one before
+// it, and the length of these windows: one in which enoughArrivals are expected, or
+// a shorter one if the rate has changed within it.
+func (f *Inflow) counts(now time.Time) (before, recent float64, window time.Duration) {
 	f.expire(now)
-	for _, a := range f.arrivals {
-		if now.Sub(a.at) > inflowWindow {
-			before += a.work
-		} else {
-			recent += a.work
+	longest, _ := f.count(now, maxInflowWindow)
+	window = time.Duration(enoughArrivals * float64(maxInflowWindow) / max(longest, 1))
+	window = max(min(window, maxInflowWindow), minInflowWindow)
+	recent, before = f.count(now, window)
+	for _, w := range [...]time.Duration{2 * minInflowWindow, minInflowWindow} {
+		expected := longest * w.Seconds() / maxInflowWindow.Seconds()
+		n, earlier := f.count(now, w)
+		if w < window && math.Abs(n-expected) > changeSignificance*math.Sqrt(expected) {
+			window, recent, before = w, n, earlier
+		}
+	}
+	return before, recent, window
+}
+
+// count returns the numbers of arrivals in the last window and in the one before it.
+func (f *Inflow) count(now time.Time, window time.Duration) (recent, before float64) {
+	for _, at := range f.arrivals {
+		switch age := now.Sub(at); {
+		case age <= window:
+			recent++
+		case age <= 2*window:
+			before++
 		}
 	}
-	return before / inflowWindow.Seconds(), recent / inflowWindow.Seconds()
+	return recent, before
 }
 
-// expire removes arrivals that are older than two windows.
+// expire removes arrivals that are too old to count.
 func (f *Inflow) expire(now time.Time) {
-	for len(f.arrivals) > 0 && now.Sub(f.arrivals[0].at) > 2*inflowWindow {
+	for len(f.arrivals) > 0 && now.Sub(f.arrivals[0]) > 2*maxInflowWindow {
 		f.arrivals = f.arrivals[1:]
 	}
 }
