fleet: wait after an election only with hosts that may have an order

Cause: a new fleet controller sent no order for LeaseMs and 0.2 s after its election.

Change: the quiet period holds for hosts with an ordered task in the plan and for those that the plan lists as recent: their task ended within the quiet period. All others can't have had an order of an earlier controller, as the plan is stored before orders are sent.

Found on the way: a controller whose host was suspended between the write of its plan and the orders sent them when it woke, after another had been elected; repeated orders needed no write at all. Where the fleet service doesn't check tokens, it would carry them out. Orders now need a write on condition of the leadership within the last second, by the boot-time clock.

TestQuietPeriodCoversEndedTasks fails without the recent hosts, TestSuspendedControllerSendsNoOrders without the check.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -285,13 +285,10 @@
 	run, stop := context.WithCancel(ctx)
 	s := fleet.New(fleet.Params{
 		Name: a.currentSettings().Name, ElectionKey: elect.Key(t.Pool), Fence: t.Fence, QuietPeriod: a.currentSettings().Bounds.QuietPeriod + quietMargin,
-		MinDowntime: a.currentSettings().Bounds.MaintenanceTime, Clock: a.clock, Log: a.log, Policy: a.version.Load, Waves: a.requestedWaves,
+		SinceBoot: sinceBoot, MinDowntime: a.currentSettings().Bounds.MaintenanceTime, Clock: a.clock, Log: a.log, Policy: a.version.Load, Waves: a.requestedWaves,
 		List: a.store.List, Commit: a.store.Commit, Hosts: a.fleet.Hosts, OrderMove: a.fleet.Move, OrderMaintenance: a.fleet.Maintain,
 		WaveStatus: platform.WaveStatus,
 	})
-	if t.Number == 1 {
-		s.QuietPeriod = 0 // no earlier controller can have sent an order
-	}
 	a.addRunner(t, nil, stop)
 	go func() {
 		defer stop()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -27,6 +27,10 @@
 // ErrDeposed is returned when another fleet controller has been elected.
 var ErrDeposed = errors.New("another fleet controller was elected")
 
+// errStaleLeadership is returned if orders were not sent because the proof of
+// leadership was too old.
+var errStaleLeadership = errors.New("leadership was proved too long ago to send orders")
+
 // ElectionName is the name of the fleet controller's election, which is held
 // like that of a pool.
 const ElectionName = "@fleet"
@@ -36,9 +40,12 @@
 	Name        string // of the entry
 	ElectionKey string // store key of the election
 	Fence       int64  // revision of that key: the fencing token
-	// QuietPeriod is the time after the election in which no order is sent, so
-	// that orders of two controllers for one host don't overlap.
+	// QuietPeriod is the time after the election in which no order is sent for hosts
+	// to which an earlier controller may just have sent one.
 	QuietPeriod time.Duration
+	// SinceBoot returns the time since the start of this entry's host, including the
+	// time for which the host was suspended.
+	SinceBoot func() time.Duration
 	// MinDowntime is the shortest time that the maintenance of a host takes.
 	MinDowntime      time.Duration
 	Clock            quartz.Clock
@@ -76,6 +83,13 @@
 	reportedWaves map[string]bool
 	// surplusHistory has the recent numbers of surplus hosts, by pool.
 	surplusHistory map[string]*shift.SurplusHistory
+	// orderedBefore has the hosts to which an earlier controller may have sent orders.
+	orderedBefore map[string]bool
+	// recentUntil has the end of the QuietPeriod of the hosts in Plan.Recent.
+	recentUntil map[string]time.Time
+	// leadershipSeen is the time since boot at which the last successful write on
+	// condition of the leadership was sent.
+	leadershipSeen time.Duration
 	// refusedHosts has the hosts that can't join a pool, by pool and host.
 	refusedHosts map[string]map[string]bool
 }
@@ -83,11 +97,17 @@
 // tick is how often the controller reads the fleet and updates its plan.
 const tick = 120 * time.Millisecond
 
+// maxLeadershipAge is how long before an order the leadership must have been proved
+// by a write. A controller that was suspended doesn't know that another was elected;
+// the fleet service may carry out orders in spite of a lower fencing token.
+const maxLeadershipAge = time.Second
+
 // New returns a fleet controller; Run starts it.
 func New(p Params) *Controller {
 	return &Controller{
 		Params: p, digests: map[string]owner.Digest{}, acceptedAt: map[int64]time.Time{},
 		reportedWaves: map[string]bool{}, surplusHistory: map[string]*shift.SurplusHistory{}, refusedHosts: map[string]map[string]bool{},
+		orderedBefore: map[string]bool{}, recentUntil: map[string]time.Time{},
 	}
 }
 
@@ -128,9 +148,10 @@
 		c.planMaintenance(now)
 		c.planMoves(now)
 	}
-	var ready []int
-	if now.Sub(c.startedAt) >= c.QuietPeriod {
-		ready = c.markReady()
+	c.forgetOrdered(now)
+	ready := c.markReady(now)
+	if len(ready) > 0 && c.SinceBoot()-c.leadershipSeen > maxLeadershipAge/2 {
+		c.planChanged = true // orders that are repeated need a new proof of leadership
 	}
 	// The plan, with its orders marked as ordered, is stored before they are sent.
 	if err := c.savePlan(ctx); err != nil || c.planChanged {
@@ -160,6 +181,15 @@
 	if c.plan.CompletedWaves == nil {
 		c.plan.CompletedWaves = map[string]bool{}
 	}
+	for _, t := range c.plan.Tasks {
+		if t.Ordered {
+			c.orderedBefore[t.Host] = true
+		}
+	}
+	for _, host := range c.plan.Recent {
+		c.orderedBefore[host] = true
+		c.recentUntil[host] = c.startedAt.Add(c.QuietPeriod)
+	}
 	// The plan is written once in this term before any order, so that a late write
 	// of an earlier controller can't replace it, and the orders of that controller
 	// have lower fencing tokens.
@@ -207,6 +237,9 @@
 		ended, why := c.taskEnded(&t, now)
 		if ended {
 			c.planChanged = true
+			if t.Ordered {
+				c.recordOrdered(t.Host, now)
+			}
 			c.Log.Info().Str("host", t.Host).Str("kind", string(t.Kind)).Int64("task", t.ID).Str("cause", why).Msg("host task ended")
 		}
 		return ended
@@ -353,6 +386,7 @@
 		Expect: []plat.Condition{{Key: c.ElectionKey, Rev: c.Fence}, {Key: PlanKey, Rev: c.planRev}},
 		Puts:   append([]plat.Put{{Key: PlanKey, Value: b}}, c.statusPuts...),
 	}
+	sent := c.SinceBoot()
 	rev, items, err := c.Commit(ctx, t)
 	if errors.Is(err, plat.ErrConflict) {
 		return c.resolveConflict(items)
@@ -360,6 +394,7 @@
 	if err != nil {
 		return fmt.Errorf("writing the fleet plan failed: %w", err)
 	}
+	c.leadershipSeen = sent
 	c.planRev, c.planChanged, c.statusPuts = rev, false, nil
 	return nil
 }
--- a/fleet/order.go
+++ b/fleet/order.go
@@ -3,19 +3,21 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
+	"time"
 
 	"shallotpaddle/hosts"
 )
 
 // markReady returns the indexes of the tasks whose orders can be sent, as their
 // hosts are empty, and marks these tasks as ordered.
-func (c *Controller) markReady() []int {
+func (c *Controller) markReady(now time.Time) []int {
 	var ready []int
 	for i := range c.plan.Tasks {
 		t := &c.plan.Tasks[i]
-		if _, accepted := c.acceptedAt[t.ID]; accepted || !c.isEmptied(t) {
+		if _, accepted := c.acceptedAt[t.ID]; accepted || !c.isEmptied(t) || c.isQuiet(t.Host, now) {
 			continue
 		}
 		if !t.Ordered {
@@ -30,6 +32,33 @@
 	return ready
 }
 
+// isQuiet reports whether an earlier controller may just have sent an order for a
+// host: orders of two controllers for one host must not overlap.
+func (c *Controller) isQuiet(host string, now time.Time) bool {
+	return c.orderedBefore[host] && now.Sub(c.startedAt) < c.QuietPeriod
+}
+
+// recordOrdered keeps a host in the plan until the QuietPeriod after an order for it
+// is over, although its task has ended.
+func (c *Controller) recordOrdered(host string, now time.Time) {
+	c.recentUntil[host] = now.Add(c.QuietPeriod)
+	if !slices.Contains(c.plan.Recent, host) {
+		c.plan.Recent = append(c.plan.Recent, host)
+	}
+}
+
+// forgetOrdered removes the hosts from the plan whose QuietPeriod is over. That
+// alone causes no write.
+func (c *Controller) forgetOrdered(now time.Time) {
+	c.plan.Recent = slices.DeleteFunc(c.plan.Recent, func(host string) bool {
+		if now.Before(c.recentUntil[host]) {
+			return false
+		}
+		delete(c.recentUntil, host)
+		return true
+	})
+}
+
 // isEmptied reports whether nothing runs on a task's host.
 func (c *Controller) isEmptied(t *Task) bool {
 	return t.Ordered || t.Worker == "" || c.digests[t.From].Released[t.Worker] == t.ID
@@ -37,6 +66,12 @@
 
 // sendOrders sends the orders of the tasks at these indexes concurrently.
 func (c *Controller) sendOrders(ctx context.Context, indexes []int) error {
+	if len(indexes) == 0 {
+		return nil
+	}
+	if age := c.SinceBoot() - c.leadershipSeen; age > maxLeadershipAge {
+		return fmt.Errorf("%w: %v", errStaleLeadership, age)
+	}
 	errs := make([]error, len(indexes))
 	var wg sync.WaitGroup
 	for k, i := range indexes {
@@ -56,7 +91,13 @@
 			return err
 		}
 	}
-	c.plan.Tasks = slices.DeleteFunc(c.plan.Tasks, func(t Task) bool { return t.ID == 0 })
+	now := c.Clock.Now()
+	c.plan.Tasks = slices.DeleteFunc(c.plan.Tasks, func(t Task) bool {
+		if t.ID == 0 {
+			c.recordOrdered(t.Host, now)
+		}
+		return t.ID == 0
+	})
 	return nil
 }
 
--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -41,6 +41,9 @@
 	DueWorkers []string `json:"due,omitempty"`
 	// EndedWorkers has the workers that an order has ended, the latest last.
 	EndedWorkers []string `json:"ended,omitempty"`
+	// Recent has the hosts to which an order may have been sent within the last
+	// QuietPeriod and that have no task any more.
+	Recent []string `json:"recent,omitempty"`
 	// CompletedWaves has the waves that were reported as completed, by number.
 	CompletedWaves map[string]bool `json:"over,omitempty"`
 }
