shift: count memory and GPUs in a pool's demand, and hosts for subtasks that wait

Cause: demand and the least number of hosts counted CPU alone.

Change: a subtask counts with the largest part of a host that it takes of any resource, as CPU (shift.ShareCPU); shift.MinHosts counts hosts by capacity as well as by the limit for each host, and adds what waiting long-running subtasks need.

--- a/owner/host.go
+++ b/owner/host.go
@@ -248,6 +248,7 @@
 		o.passNeeded = true
 	}
 	h.worker, h.listed = w, true
+	o.largest = hosts.Resources{CPU: max(o.largest.CPU, w.Capacity.CPU), Mem: max(o.largest.Mem, w.Capacity.Mem), GPU: max(o.largest.GPU, w.Capacity.GPU)}
 	if h.startedMs == 0 {
 		h.startedMs = w.StartedMs
 	}
@@ -294,7 +295,6 @@
 	s := p.task.Step
 	if !s.Fills {
 		h.used.CPU -= s.CPU
-		p.job.usedCPU -= s.CPU
 	}
 	h.used.Mem -= s.Mem
 	h.used.GPU -= s.GPU
@@ -307,7 +307,6 @@
 	s := p.task.Step
 	if !s.Fills {
 		h.used.CPU += s.CPU
-		p.job.usedCPU += s.CPU
 	}
 	h.used.Mem += s.Mem
 	h.used.GPU += s.GPU
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"encoding/json"
-	"math"
 	"slices"
 	"time"
 
-	"shallotpaddle/pack"
 	"shallotpaddle/plat"
 	"shallotpaddle/runs"
 	"shallotpaddle/shift"
@@ -24,10 +22,8 @@
 	acceptedInTerm bool
 	// activeTasks is the number of subtasks that have room reserved on a worker.
 	activeTasks int
-	// usedCPU is the CPU reserved for them, in thousandths of a core.
-	usedCPU   int
-	lastStart time.Time // of a run of the job
-	endedAt   time.Time // when this owner learned that the job has ended
+	lastStart   time.Time // of a run of the job
+	endedAt     time.Time // when this owner learned that the job has ended
 	// longRunning is true if the job's subtasks run until the job is cancelled.
 	longRunning bool
 	// voidVersion is the version of the record that lists all void runs. Their
@@ -170,9 +166,8 @@
 func (o *Owner) recordInflow(j *job) {
 	work := 0.0
 	for i := range j.progress.Job.Steps {
-		if s := &j.progress.Job.Steps[i]; !s.Fills {
-			work += float64(s.Count*s.CPU) * o.expectedRunTime(j, s).Seconds()
-		}
+		s := &j.progress.Job.Steps[i]
+		work += float64(s.Count*o.shareCPU(s)) * o.expectedRunTime(j, s).Seconds()
 	}
 	now, queue := o.Clock.Now(), j.progress.Job.Queue
 	f := o.inflows[queue]
@@ -181,7 +176,7 @@
 		o.inflows[queue] = f
 	}
 	f.Add(now, shift.WorkWithinHorizon(work, o.schedulingView(j).Remaining))
-	o.demand = max(o.demand+j.demandCPU(now), o.arrivingCPU(now))
+	o.demand = max(o.demand+o.jobCPU(j, now), o.arrivingCPU(now))
 }
 
 // arrivingCPU returns the CPU, in thousandths of a core, of the jobs that are
@@ -328,140 +323,3 @@
 		o.post(commitResult{rev: rev, items: items, err: err})
 	}()
 }
-
-// digestInterval is the shortest time between two digests that are not urgent.
-// Readers may see a digest that is up to two seconds old.
-const digestInterval = 300 * time.Millisecond
-
-// Digest is the summary of a pool that its owner stores for the other entries.
-type Digest struct {
-	// Waiting is the number of jobs of which no run has started, by queue. Scheduled
-	// jobs don't count.
-	Waiting map[string]int `json:"waiting"`
-	// DemandCPU is the CPU that running, waiting and expected work needs, in
-	// thousandths of a core.
-	DemandCPU int `json:"want"`
-	// MinWorkers is the number of workers that long-running work needs at least.
-	MinWorkers int `json:"floor"`
-	// Hosts has the load of each worker, by worker ID.
-	Hosts map[string]HostLoad `json:"hosts"`
-	// Released has the workers that are empty as the fleet plan asks, with the ID of
-	// the plan's task for each.
-	Released map[string]int64 `json:"released,omitempty"`
-}
-
-// HostLoad is the load of a worker.
-type HostLoad struct {
-	UsedCPU     int `json:"u,omitempty"` // reserved CPU in thousandths of a core
-	LongRunning int `json:"l,omitempty"` // number of long-running subtasks
-}
-
-// encodeDigest returns the current digest as JSON, and updates demand on the way.
-func (o *Owner) encodeDigest() []byte {
-	d := Digest{Waiting: map[string]int{}, Hosts: map[string]HostLoad{}, Released: map[string]int64{}}
-	now := o.Clock.Now()
-	open := make([]shift.OpenJob, 0, len(o.openJobs))
-	for _, j := range o.openJobs {
-		if !j.progress.Started && j.progress.Job.Repetitions == 0 {
-			d.Waiting[j.progress.Job.Queue]++
-		}
-		d.MinWorkers = max(d.MinWorkers, minWorkers(j.progress.Job))
-		w := o.schedulingView(j)
-		open = append(open, shift.OpenJob{CPU: j.demandCPU(now), Remaining: j.remaining(w.Remaining, now), Late: pack.Late(&w, now)})
-	}
-	d.DemandCPU = shift.DemandCPU(open, o.arrivingCPU(now))
-	for _, h := range o.hosts {
-		d.Hosts[h.id] = HostLoad{roundUpCPU(h.used.CPU), h.countLongRunning()}
-		if h.releaseTask != 0 && h.isEmpty() {
-			d.Released[h.id] = h.releaseTask
-		}
-	}
-	o.demand = d.DemandCPU
-	d.DemandCPU = roundUpCPU(d.DemandCPU)
-	b, err := json.Marshal(d)
-	if err != nil {
-		o.Log.Error().Err(err).Msg("encoding the digest failed")
-	}
-	return b
-}
-
-// remaining returns the expected time until a job ends, from the length of its
-// critical path. Long-running jobs don't end.
-func (j *job) remaining(criticalPath time.Duration, now time.Time) time.Duration {
-	if j.longRunning {
-		return math.MaxInt64
-	}
-	if j.lastStart.IsZero() {
-		return criticalPath
-	}
-	return criticalPath - now.Sub(j.lastStart)
-}
-
-// demandCPU returns the CPU that a job's running and ready subtasks need, in
-// thousandths of a core.
-func (j *job) demandCPU(now time.Time) int {
-	n := j.usedCPU
-	j.progress.EachReady(now, func(t *steps.Task) bool {
-		if !t.Step.Fills {
-			n += t.Step.CPU
-		}
-		return true
-	})
-	return n
-}
-
-// digestCPUStep is the resolution of the digest's CPU figures, in thousandths of a
-// core: smaller changes cause no write.
-const digestCPUStep = 4000
-
-func roundUpCPU(cpu int) int { return (cpu + digestCPUStep - 1) / digestCPUStep * digestCPUStep }
-
-// minWorkers returns the number of workers that a job's long-running steps need
-// because of their limits per worker.
-func minWorkers(j *steps.Job) int {
-	n := 0
-	for i := range j.Steps {
-		s := &j.Steps[i]
-		if s.LongRunning && s.MaxPerWorker > 0 {
-			n = max(n, (s.Count+s.MaxPerWorker-1)/s.MaxPerWorker)
-		}
-	}
-	return n
-}
-
-// urgentRise is the rise in demand that makes a digest urgent, in thousandths of
-// a core: the capacity of two hosts of 32 cores.
-const urgentRise = 64_000
-
-// urgentDigestInterval is the shortest time between a digest and an urgent one for
-// a rise in demand.
-const urgentDigestInterval = 80 * time.Millisecond
-
-// updateDigest queues the digest for writing if it has changed.
-func (o *Owner) updateDigest(now time.Time) {
-	since := now.Sub(o.digestCheckedAt)
-	if o.digest.queued || since < urgentDigestInterval && !o.digestDue {
-		return
-	}
-	if since < digestInterval && !o.digestDue && o.demand-o.publishedDemand < urgentRise {
-		return
-	}
-	o.digestDue = false
-	o.digestCheckedAt = now
-	if s := string(o.encodeDigest()); s != o.publishedDigest {
-		o.publishedDigest = s
-		o.publishedDemand = o.demand
-		o.Log.Info().Str("pool", o.Pool).Int("want", o.demand).Int("inflow", o.arrivingCPU(now)).Int("jobs", len(o.openJobs)).
-			Int("hosts", len(o.hosts)).Int("used", o.used()).Msg("demand published")
-		o.markChanged(o.digest)
-	}
-}
-
-// used returns the CPU reserved on all workers, in thousandths of a core.
-func (o *Owner) used() int {
-	n := 0
-	for _, h := range o.hosts {
-		n += h.used.CPU
-	}
-	return n
-}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -102,6 +102,8 @@
 	// takeoverDone that every run of an earlier owner is known or has ended.
 	workersKnown, takeoverDone bool
 	fleetPlan                  PoolPlan
+	// largest has the largest capacity of a worker so far, for each resource.
+	largest hosts.Resources
 	// demand is the CPU that running, waiting and expected work needs, and
 	// publishedDemand the one in the last digest, both in thousandths of a core.
 	demand, publishedDemand int
--- a/shift/demand.go
+++ b/shift/demand.go
@@ -1,6 +1,10 @@
 package shift
 
-import "time"
+import (
+	"time"
+
+	"shallotpaddle/hosts"
+)
 
 // Horizon is how far ahead a pool's demand is estimated: about the time from an
 // owner's digest until a host has changed its pool and runs its first subtask.
@@ -50,3 +54,58 @@
 	}
 	return work * Horizon.Seconds() / chain.Seconds()
 }
+
+// ShareCPU returns what a subtask takes of a host, as CPU in thousandths of a core:
+// its CPU or, if it takes a larger part of the host's memory or GPUs, that part of
+// the host's CPU. A zero capacity is not known.
+func ShareCPU(need, host hosts.Resources) int {
+	share := need.CPU
+	if host.Mem > 0 {
+		share = max(share, need.Mem*host.CPU/host.Mem)
+	}
+	if host.GPU > 0 {
+		share = max(share, need.GPU*host.CPU/host.GPU)
+	}
+	return share
+}
+
+// LongRunningStep is a step of long-running subtasks.
+type LongRunningStep struct {
+	// Count is the number of its subtasks, Waiting the number of those that found no
+	// host.
+	Count, Waiting int
+	// CPU is what one subtask takes of a host, see ShareCPU.
+	CPU int
+	// MaxPerHost limits the subtasks on one host; 0 is no limit.
+	MaxPerHost int
+}
+
+// hosts returns the number of hosts that n subtasks of the step need.
+func (s *LongRunningStep) hosts(n, cpu int) int {
+	byLimit := 0
+	if s.MaxPerHost > 0 {
+		byLimit = divideUp(n, s.MaxPerHost)
+	}
+	return max(byLimit, divideUp(n*s.CPU, cpu))
+}
+
+// MinHosts returns the number of hosts that long-running subtasks need, which steps
+// can share. Cpu is the CPU of a host in thousandths of a core.
+//
+// Subtasks that wait although there are as many hosts as they would need in all have
+// found them full or leaving: they need further hosts.
+func MinHosts(list []LongRunningStep, cpu int) int {
+	if cpu <= 0 {
+		return 0
+	}
+	most, total, waiting := 0, 0, 0
+	for i := range list {
+		s := &list[i]
+		most = max(most, s.hosts(s.Count, cpu))
+		total += s.Count * s.CPU
+		waiting += s.hosts(s.Waiting, cpu)
+	}
+	return max(most, divideUp(total, cpu)) + waiting
+}
+
+func divideUp(a, b int) int { return (a + b - 1) / b }
--- a/shift/demand_test.go
+++ b/shift/demand_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"shallotpaddle/hosts"
 	"shallotpaddle/shift"
 )
 
@@ -61,3 +62,39 @@
 	require.Less(t, most, height*3/2)
 	require.GreaterOrEqual(t, most, height)
 }
+
+func TestShareCPU(t *testing.T) {
+	host := hosts.Resources{CPU: 32_000, Mem: 128_000, GPU: 4}
+	for name, c := range map[string]struct {
+		need hosts.Resources
+		host hosts.Resources
+		want int
+	}{
+		"CPU binds":                    {hosts.Resources{CPU: 4000, Mem: 1000}, host, 4000},
+		"memory binds":                 {hosts.Resources{CPU: 4000, Mem: 64_000}, host, 16_000},
+		"GPUs bind":                    {hosts.Resources{CPU: 4000, GPU: 4}, host, 32_000},
+		"the capacity is not known":    {hosts.Resources{CPU: 4000, Mem: 64_000, GPU: 1}, hosts.Resources{}, 4000},
+		"no CPU, as the subtask fills": {hosts.Resources{Mem: 64_000}, host, 16_000},
+	} {
+		require.Equal(t, c.want, shift.ShareCPU(c.need, c.host), name)
+	}
+}
+
+// Long-running subtasks take more of a host's memory than of its CPU. A pool that kept
+// hosts for their CPU alone left some of them waiting all day.
+func TestMinHosts(t *testing.T) {
+	const host = 32_000
+	for name, c := range map[string]struct {
+		list []shift.LongRunningStep
+		want int
+	}{
+		"none":                                 {nil, 0},
+		"by capacity":                          {[]shift.LongRunningStep{{Count: 22, CPU: 8500}, {Count: 19, CPU: 8500}}, 11},
+		"by the limit for each host":           {[]shift.LongRunningStep{{Count: 22, CPU: 1000, MaxPerHost: 2}, {Count: 19, CPU: 1000}}, 11},
+		"some wait on hosts that are full":     {[]shift.LongRunningStep{{Count: 22, CPU: 8500, Waiting: 6}}, 6 + 2},
+		"some wait because of the host limits": {[]shift.LongRunningStep{{Count: 22, CPU: 1000, MaxPerHost: 2, Waiting: 6}}, 11 + 3},
+	} {
+		require.Equal(t, c.want, shift.MinHosts(c.list, host), name)
+	}
+	require.Zero(t, shift.MinHosts([]shift.LongRunningStep{{Count: 1, CPU: 1}}, 0), "no worker is known")
+}
--- a/steps/track.go
+++ b/steps/track.go
@@ -219,6 +219,23 @@
 	return true
 }
 
+// CountWaiting returns the number of waiting subtasks of a step, in the occurrences
+// that were used so far.
+func (p *Progress) CountWaiting(step int) int {
+	n := 0
+	for _, o := range p.occurrences {
+		if o == nil {
+			continue
+		}
+		for _, task := range o.tasks[step] {
+			if task.Phase == Waiting {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // NextDue returns the due time of the next occurrence after now, or the zero time
 // if there is none.
 func (p *Progress) NextDue(now time.Time) time.Time {
