shift: keep hosts in their pools until the demand is known

Cause: the large system starts 14 s before its queues get jobs, and the fleet controller sent 230 hosts to standby meanwhile.

Change: hosts go to standby only when a queue has had jobs for 2.1 s, the longest window of the inflow, or nobody has submitted any for 30 s. TestDemandKnown, TestNoStandbyBeforeJobs.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -83,6 +83,8 @@
 	reportedWaves map[string]bool
 	// surplusHistory has the recent numbers of surplus hosts, by pool.
 	surplusHistory map[string]*shift.SurplusHistory
+	// firstJobSeen is when a digest first told of jobs that end by themselves.
+	firstJobSeen time.Time
 	// orderedBefore has the hosts to which an earlier controller may have sent orders.
 	orderedBefore map[string]bool
 	// recentUntil has the end of the QuietPeriod of the hosts in Plan.Recent.
@@ -216,6 +218,9 @@
 			continue
 		}
 		c.digests[strings.TrimPrefix(it.Key, owner.DigestPrefix)] = d
+		if d.HadJobs && c.firstJobSeen.IsZero() {
+			c.firstJobSeen = c.Clock.Now()
+		}
 	}
 	return nil
 }
@@ -343,7 +348,7 @@
 	for i := range pools {
 		c.surplusOf(pools[i].Name).Add(now, shift.Surplus(&pools[i], cpu))
 	}
-	if len(moves) == 0 {
+	if len(moves) == 0 && shift.DemandKnown(now, c.startedAt, c.firstJobSeen) {
 		moves = shift.MovesToStandby(pools, cpu, func(pool string) int { return c.surplusOf(pool).Min(now) })
 	}
 	for _, m := range moves {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -46,6 +46,8 @@
 	faults         []string
 	// loseAnswers is the number of next orders that are carried out but not answered.
 	loseAnswers int
+	// noJobs tells that the pool has had no jobs.
+	noJobs bool
 	// commit is the controllers' call to write to the store.
 	commit func(ctx context.Context, t plat.Txn) (int64, []plat.Item, error)
 	// suspended is how long the entries' hosts were suspended in all.
@@ -167,7 +169,7 @@
 	for ctx.Err() == nil {
 		p := f.readPlan()
 		time.Sleep(300 * time.Millisecond)
-		d := owner.Digest{DemandCPU: want, MinWorkers: 1, Hosts: map[string]owner.HostLoad{}, Released: p.ForPool("a", 1).Release}
+		d := owner.Digest{DemandCPU: want, MinWorkers: 1, HadJobs: !f.noJobs, Hosts: map[string]owner.HostLoad{}, Released: p.ForPool("a", 1).Release}
 		f.mu.Lock()
 		for _, h := range f.hosts {
 			if h.Pool == "a" && h.Worker != "" {
@@ -280,6 +282,30 @@
 	})
 }
 
+// TestNoStandbyBeforeJobs starts the whole system: the hosts of the pool stay until it
+// has had jobs for a while, and go to standby then.
+func TestNoStandbyBeforeJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(t)
+		f.noJobs = true
+		ctx, cancel := context.WithCancel(context.Background())
+		defer time.Sleep(5 * time.Second) // lets calls under way end
+		defer cancel()
+		owned, stopOwner := context.WithCancel(ctx)
+		ended := make(chan struct{})
+		go func() { f.runOwner(owned, 0); close(ended) }()
+		f.startController(ctx, "e-1", 0, nil)
+		time.Sleep(10 * time.Second)
+		require.Empty(t, f.received)
+		stopOwner()
+		<-ended
+		f.noJobs = false
+		go f.runOwner(ctx, 0)
+		time.Sleep(10 * time.Second)
+		require.NotEmpty(t, f.received)
+	})
+}
+
 // TestDeposedControllerSendsNoOrders elects another fleet controller while one
 // runs.
 func TestDeposedControllerSendsNoOrders(t *testing.T) {
--- a/owner/digest.go
+++ b/owner/digest.go
@@ -27,6 +27,8 @@
 	MinWorkers int `json:"floor"`
 	// Hosts has the load of each worker, by worker ID.
 	Hosts map[string]HostLoad `json:"hosts"`
+	// HadJobs tells that the pool has had jobs that end by themselves.
+	HadJobs bool `json:"had,omitempty"`
 	// Released has the workers that are empty as the fleet plan asks, with the ID of
 	// the plan's task for each.
 	Released map[string]int64 `json:"released,omitempty"`
@@ -40,7 +42,7 @@
 
 // encodeDigest returns the current digest as JSON, and updates demand on the way.
 func (o *Owner) encodeDigest() []byte {
-	d := Digest{Waiting: map[string]int{}, Hosts: map[string]HostLoad{}, Released: map[string]int64{}}
+	d := Digest{Waiting: map[string]int{}, Hosts: map[string]HostLoad{}, HadJobs: o.hadJobs, Released: map[string]int64{}}
 	now := o.Clock.Now()
 	open := make([]shift.OpenJob, 0, len(o.openJobs))
 	for _, j := range o.openJobs {
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -155,6 +155,7 @@
 	o.openJobs = slices.Insert(o.openJobs, at, j)
 	o.Stats.Jobs.Inc(1)
 	o.passNeeded = true
+	o.hadJobs = o.hadJobs || !j.longRunning
 	if fresh && doc.Repetitions == 0 && !j.longRunning {
 		o.recordInflow(j)
 	}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -102,6 +102,7 @@
 	// takeoverDone that every run of an earlier owner is known or has ended.
 	workersKnown, takeoverDone bool
 	fleetPlan                  PoolPlan
+	hadJobs                    bool // the pool has had jobs that end by themselves
 	// largest has the largest capacity of a worker so far, for each resource.
 	largest hosts.Resources
 	// demand is the CPU that running, waiting and expected work needs, and
--- a/shift/shift_test.go
+++ b/shift/shift_test.go
@@ -199,3 +199,24 @@
 	off.Excluded = map[string]bool{"a7": true}
 	require.NotContains(t, shift.MovesToStandby([]shift.Pool{p, off}, cpu, six), shift.Move{Host: "a7", From: "a", To: "off"})
 }
+
+// The system starts ten seconds before its queues get their first jobs.
+func TestDemandKnown(t *testing.T) {
+	started := time.UnixMilli(0)
+	for name, c := range map[string]struct {
+		now, firstJob time.Duration
+		want          bool
+	}{
+		"no job yet":                       {10 * time.Second, 0, false},
+		"the first job":                    {10 * time.Second, 10 * time.Second, false},
+		"the inflow is measured":           {12200 * time.Millisecond, 10 * time.Second, true},
+		"nobody submits jobs":              {30 * time.Second, 0, true},
+		"the first job after a long pause": {time.Hour, time.Hour, false},
+	} {
+		var first time.Time
+		if c.firstJob > 0 {
+			first = started.Add(c.firstJob)
+		}
+		require.Equal(t, c.want, shift.DemandKnown(started.Add(c.now), started, first), name)
+	}
+}
--- a/shift/standby.go
+++ b/shift/standby.go
@@ -10,8 +10,25 @@
 	// keptSurplus is the number of surplus hosts that a pool keeps: about what the
 	// start of a peak asks for until another host has arrived.
 	keptSurplus = 3
+	// idleReleaseDelay is the time without any job after which hosts go to standby
+	// although the demand is not known.
+	idleReleaseDelay = 30 * time.Second
 )
 
+// DemandKnown tells whether hosts may go to standby: not before the inflow of jobs
+// could be measured over a whole window. FirstJob is when a job that ends was first
+// seen in any queue, or the zero time, and started when the decisions began.
+//
+// When the whole system starts, operators have given hosts to the pools and no queue
+// has had a job. If the hosts went to standby then, the first queue in its turn would
+// wait for them to come back.
+func DemandKnown(now, started, firstJob time.Time) bool {
+	if firstJob.IsZero() {
+		return now.Sub(started) >= idleReleaseDelay
+	}
+	return now.Sub(firstJob) >= maxInflowWindow
+}
+
 // SurplusHistory has a pool's recent surplus of hosts.
 type SurplusHistory struct {
 	samples []sample // oldest first
