--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -288,6 +288,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFakeFleet(t)
 		f.noJobs = true
+		for i := 6; i < 10; i++ {
+			f.hosts = append(f.hosts, hosts.Host{Name: fmt.Sprintf("m-%d", i), Pool: "a", State: hosts.Up, Capacity: hosts.Resources{CPU: cpu}, Worker: f.nextWorker()})
+		}
 		ctx, cancel := context.WithCancel(context.Background())
 		defer time.Sleep(5 * time.Second) // lets calls under way end
 		defer cancel()
