owner: wait for one lease of an owner at a takeover, not for the longest

Cause: a new owner that can't reach a worker waited 10.4 s before older subtasks started again: the longest lease that a worker grants. Owners never give more than 4 s.

Change: a lease of an earlier owner ends within 4 s by a clock that is 2 % slow. For this to hold, the lower bound of a worker's clock, from which leases are counted, now allows for a slow clock, and the clock of an idle worker is read every 20 s.

--- a/owner/host.go
+++ b/owner/host.go
@@ -90,9 +90,13 @@
 	// leaseFraction is the fraction of Bounds.MaxLease that is given: short enough
 	// for a quick restart of runs after a crash, long enough to outlast an election.
 	leaseFraction = 0.6
-	// leaseCap limits the length of a lease to twice the time of an election and a
-	// takeover.
+	// leaseCap limits the length of a lease, also that of a start, to twice the time of
+	// an election and a takeover. A later owner relies on it, so that owners of all
+	// versions must keep to it.
 	leaseCap = 4 * time.Second
+	// maxClockAge is the age from which an idle worker's clock is read again, as its
+	// lower bound falls behind.
+	maxClockAge = 20 * time.Second
 	// pollWait is how long a worker may hold a poll until a run ends.
 	pollWait = 1000 * time.Millisecond
 	// pollGap is the pause after a poll, so that one poll returns several ends.
@@ -121,13 +125,15 @@
 func (h *host) target() runs.Target { return runs.Target{ID: h.id, Address: h.worker.Address} }
 
 // workerClock returns a lower bound of the worker's clock at now, in milliseconds.
-func (h *host) workerClock(now time.Time) int64 { return h.clock + now.Sub(h.clockAt).Milliseconds() }
+func (h *host) workerClock(now time.Time) int64 {
+	return h.clock + int64(float64(now.Sub(h.clockAt).Milliseconds())*(1-maxClockSlowness))
+}
 
 // leaseExpired reports whether every lease on the worker has expired for certain.
-// A worker that has not answered this owner may have a lease of the longest length
-// from the owner's start.
-func (h *host) leaseExpired(now, ownerStart time.Time, longest time.Duration) bool {
-	from, lease := ownerStart, longest
+// A worker that has not answered this owner may have a lease of an earlier owner,
+// which gave none longer than leaseCap from a lower bound of the worker's clock.
+func (h *host) leaseExpired(now, ownerStart time.Time) bool {
+	from, lease := ownerStart, leaseCap
 	if h.answered {
 		from, lease = h.clockAt, time.Duration(h.leaseUntil-h.clock)*time.Millisecond
 	}
@@ -321,8 +327,8 @@
 		case h.answered && !h.listed && len(h.runs) == 0:
 			o.endIncarnation(h, "not registered and idle")
 		case h.answered && h.failingSince.IsZero():
-		case h.leaseExpired(now, o.startedAt, o.Bounds.MaxLease):
-			if h.listed && h.answered && !h.leaseExpired(now.Add(-unreachableGrace), o.startedAt, o.Bounds.MaxLease) {
+		case h.leaseExpired(now, o.startedAt):
+			if h.listed && h.answered && !h.leaseExpired(now.Add(-unreachableGrace), o.startedAt) {
 				o.freeLongRunning(h)
 				continue
 			}
@@ -365,7 +371,7 @@
 // have no run of an earlier owner.
 func (o *Owner) earlierRunsKnown(now time.Time) bool {
 	for _, h := range o.hosts {
-		if !h.answered && !h.leaseExpired(now, o.startedAt, o.Bounds.MaxLease) {
+		if !h.answered && !h.leaseExpired(now, o.startedAt) {
 			return false
 		}
 	}
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -33,7 +33,7 @@
 	if h.polling || now.Before(h.nextPoll) {
 		return false
 	}
-	return !h.answered || len(h.runs) > 0 || h.ackable > h.acked || len(h.unacked) > 0 || !h.failingSince.IsZero()
+	return !h.answered || len(h.runs) > 0 || h.ackable > h.acked || len(h.unacked) > 0 || !h.failingSince.IsZero() || now.Sub(h.clockAt) > maxClockAge
 }
 
 // pollHosts polls the workers that are due.
--- a/owner/rules_test.go
+++ b/owner/rules_test.go
@@ -162,3 +162,31 @@
 	})
 	require.Zero(t, pool.countOpen())
 }
+
+// A worker is cut off, and the owner is lost at the same moment. The subtask that it
+// runs starts elsewhere when the lease of the lost owner is over, not earlier and not
+// later.
+func TestTakeoverWaitsForOneLease(t *testing.T) {
+	withoutFaults(t, 3, func(ctx context.Context, pool *testPool) {
+		pool.workers.DecideRun = func(runs.Task, int) (time.Duration, runs.Outcome) { return time.Minute, runs.Done }
+		task := runs.Task{Job: fmt.Sprintf("%016x", 1)}
+		pool.submit(&steps.Job{ID: task.Job, Queue: "q", MaxAttempts: 3, Steps: []steps.Step{{Count: 1, CPU: 1500}}})
+		time.Sleep(3 * time.Second)
+		at := pool.workers.Running()[task]
+		require.NotEmpty(t, at)
+		pool.workers.SetUnreachable(at, true)
+		pool.kill(ctx, pool.leader())
+		for pool.leader() == nil {
+			time.Sleep(10 * time.Millisecond)
+		}
+		elected := time.Now()
+		for pool.workers.Running()[task] == at {
+			time.Sleep(10 * time.Millisecond)
+		}
+		require.Less(t, time.Since(elected), 4500*time.Millisecond, "leases are 4 s long by a clock that is 2 % slow")
+		for pool.workers.Running()[task] == "" {
+			time.Sleep(10 * time.Millisecond)
+		}
+		require.Less(t, time.Since(elected), 4500*time.Millisecond)
+	})
+}
