owner: notice within half a second that the store has lost its history

Cause: when the store discards its history, a watch that waits hears of it, and of nothing else, only when its wait is over.

A job counts in the inflow at the time of its acceptance.

--- a/agent/follow.go
+++ b/agent/follow.go
@@ -21,7 +21,7 @@
 	watchTimeout = 1500 * time.Millisecond
 	// planWatchTimeout is how long the store holds a watch of the fleet plan without
 	// a change.
-	planWatchTimeout = 5 * time.Second
+	planWatchTimeout = time.Second
 	// workersPeriod is how often an entry with owners reads the registered workers: a
 	// leaving worker must be known well within its notice period.
 	workersPeriod = 700 * time.Millisecond
--- a/fakes/kv.go
+++ b/fakes/kv.go
@@ -40,6 +40,9 @@
 // transactions, leases and watches. It uses the clock of package time, so that it
 // can run in a synctest bubble.
 type KV struct {
+	// LateCompaction makes watches report compacted history only when their wait is
+	// over.
+	LateCompaction bool
 	// InjectFault returns the fault of a call by its operation (list, watch, commit,
 	// get, grant, renew, revoke) and key; nil stands for NoFault. It is set before the
 	// first call.
@@ -162,6 +165,9 @@
 	end := time.After(wait)
 	for {
 		out, rev, changed, err := k.changesAfter(prefix, after)
+		if err != nil && k.LateCompaction {
+			return nil, 0, errAfterWait(ctx, end, err)
+		}
 		if err != nil || len(out) > 0 {
 			return out, rev, err
 		}
@@ -175,6 +181,16 @@
 	}
 }
 
+// errAfterWait returns an error when the wait of a watch is over.
+func errAfterWait(ctx context.Context, end <-chan time.Time, err error) error {
+	select {
+	case <-end:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 func (k *KV) changesAfter(prefix string, after int64) ([]plat.Item, int64, <-chan struct{}, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -176,7 +176,8 @@
 		f = &shift.Inflow{}
 		o.inflows[queue] = f
 	}
-	f.Add(now, shift.WorkWithinHorizon(work, o.schedulingView(j).Remaining))
+	age := max(time.Duration(now.UnixMilli()-j.progress.Job.Accepted)*time.Millisecond, 0)
+	f.Add(now.Add(-age), shift.WorkWithinHorizon(work, o.schedulingView(j).Remaining))
 	o.demand = max(o.demand+o.jobCPU(j, now), o.arrivingCPU(now))
 }
 
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -310,8 +310,10 @@
 }
 
 // maxWatchWait is the longest time that a watch of the pool's jobs waits for a
-// change. It bounds how long a dead connection goes unnoticed.
-const maxWatchWait = 2 * time.Second
+// change. It bounds how long accepted jobs go unnoticed after a connection has died,
+// or after the store has discarded its history, which it may report only when the
+// wait is over.
+const maxWatchWait = 400 * time.Millisecond
 
 // watchJobs posts the jobs and cancellations that entries write for the pool.
 func (o *Owner) watchJobs(ctx context.Context, rev int64) {
--- a/owner/rules_test.go
+++ b/owner/rules_test.go
@@ -190,3 +190,30 @@
 		require.Less(t, time.Since(elected), 4500*time.Millisecond)
 	})
 }
+
+// The store forgets its history again and again during a peak, and watches that wait
+// learn of it only when their wait is over. Accepted jobs start within a second all
+// the same.
+func TestJobsStartWhileHistoryIsLost(t *testing.T) {
+	withoutFaults(t, 6, func(ctx context.Context, pool *testPool) {
+		pool.kv.LateCompaction = true
+		ctx, stop := context.WithCancel(ctx)
+		defer stop()
+		go func() {
+			for ctx.Err() == nil {
+				time.Sleep(150 * time.Millisecond)
+				pool.kv.Compact()
+			}
+		}()
+		for i := range 50 {
+			id := fmt.Sprintf("%016x", i)
+			pool.submit(&steps.Job{ID: id, Queue: "q", MaxAttempts: 3, Steps: []steps.Step{{Count: 1, CPU: 100}}})
+			time.AfterFunc(time.Second, func() {
+				_, running := pool.workers.Running()[runs.Task{Job: id}]
+				require.True(t, running || pool.state(id).Started, "job %d", i)
+			})
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(5 * time.Second)
+	})
+}
--- a/shift/inflow.go
+++ b/shift/inflow.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -40,11 +41,12 @@
 	jobs     float64
 }
 
-// Add records a job that arrives. Work is the work in it that counts, in thousandths
-// of a core × seconds.
-func (f *Inflow) Add(now time.Time, work float64) {
-	f.expire(now)
-	f.arrivals = append(f.arrivals, now)
+// Add records a job that arrived at a time, maybe some time ago: after an outage many
+// jobs become known at once, in any order. Work is the work in it that counts, in
+// thousandths of a core × seconds.
+func (f *Inflow) Add(at time.Time, work float64) {
+	i, _ := slices.BinarySearchFunc(f.arrivals, at, time.Time.Compare)
+	f.arrivals = slices.Insert(f.arrivals, i, at)
 	f.jobs = min(f.jobs+1, sizeMemory)
 	f.meanWork += (work - f.meanWork) / f.jobs
 }
--- a/shift/inflow_test.go
+++ b/shift/inflow_test.go
@@ -84,3 +84,15 @@
 	f.Add(at(30_000), 800_000)
 	require.Less(t, f.ForecastCPU(at(30_000), shift.Horizon), 200_000)
 }
+
+// The jobs of three seconds become known at once, in any order: the inflow is the same
+// as if each had been known when it arrived.
+func TestInflowKnownLate(t *testing.T) {
+	var early, late shift.Inflow
+	times := rand.New(rand.NewPCG(1, 1)).Perm(300)
+	for n := range 300 {
+		early.Add(at(10*n), 1000)
+		late.Add(at(10*times[n]), 1000)
+	}
+	require.Equal(t, early.ForecastCPU(at(3000), shift.Horizon), late.ForecastCPU(at(3000), shift.Horizon))
+}
