shift: extrapolate a rise up to twice the inflow

Hosts take 1.6 s from the order to the first run, so they came half a second late.

Change: what the rise exceeds the standard deviation of random arrivals by is carried on, up to twice the inflow. 2.5 times was tried and exceeded the bound of TestDemandFollowsBuildUp.

--- a/shift/inflow.go
+++ b/shift/inflow.go
@@ -22,7 +22,7 @@
 	// which a shorter window must differ from the longest to be used.
 	changeSignificance = 3
 	// maxRiseFactor limits a forecast to this multiple of the present inflow.
-	maxRiseFactor = 1.5
+	maxRiseFactor = 2
 )
 
 // Inflow measures the rate of work that arrives in a queue.
@@ -58,13 +58,13 @@
 }
 
 // ForecastCPU returns the CPU, in thousandths of a core, that arriving work will
-// ask for after the horizon if the inflow goes on rising as it does now. If the
-// inflow falls, or rises by no more than random arrivals do, it returns the same as
-// CPU.
+// ask for after the horizon if the inflow goes on rising as it does now, by what
+// exceeds the standard deviation of random arrivals. If it falls, it returns the same
+// as CPU.
 func (f *Inflow) ForecastCPU(now time.Time, horizon time.Duration) int {
 	before, recent, window := f.counts(now)
 	expected := recent
-	if rise := recent - before; rise > math.Sqrt(recent+before) {
+	if rise := recent - before - math.Sqrt(recent+before); rise > 0 {
 		expected += min(rise*horizon.Seconds()/window.Seconds(), (maxRiseFactor-1)*recent)
 	}
 	return int(expected / window.Seconds() * f.meanWork)
