fleet: withdraw moves of hosts that are needed again

Cause: a planned move was carried out whatever happened until the host was empty.

Change: moves that have not been ordered are withdrawn if long-running work has come to the host, or as far as the pool lacks hosts. Owners stop long-running subtasks for maintenance only. TestMovesWithdrawn, TestReleaseWaits (its host is to move).

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -264,6 +264,8 @@
 		return true, "host has another worker"
 	case !t.Ordered && h.State == hosts.Down:
 		return true, "host is down"
+	case !t.Ordered && t.Kind == Move && c.hostLoad(h).LongRunning > 0:
+		return true, "long-running work has started on the host"
 	case accepted && h.State == hosts.Up && now.Sub(acceptedAt) >= c.MinDowntime/2 && (h.Worker != "" || t.Worker == "" || c.isStandby(t.To)):
 		return true, "carried out"
 	default:
@@ -344,6 +346,7 @@
 	for _, p := range c.Policy().Pools {
 		pools = append(pools, *byName[p.Name])
 	}
+	c.withdrawMoves(pools, cpu)
 	moves := shift.Moves(pools, cpu)
 	for i := range pools {
 		c.surplusOf(pools[i].Name).Add(now, shift.Surplus(&pools[i], cpu))
@@ -357,6 +360,26 @@
 	}
 }
 
+// withdrawMoves removes the tasks of hosts that have not been ordered to leave pools
+// that lack hosts now, and adds these hosts to their pools.
+func (c *Controller) withdrawMoves(pools []shift.Pool, cpu int) {
+	for i := range pools {
+		p := &pools[i]
+		n := shift.Shortage(p, cpu)
+		c.plan.Tasks = slices.DeleteFunc(c.plan.Tasks, func(t Task) bool {
+			if n <= 0 || t.Ordered || t.Kind != Move || t.From != p.Name {
+				return false
+			}
+			h := c.findHost(t.Host)
+			p.Hosts = append(p.Hosts, shift.Host{Name: h.Name, CPU: h.Capacity.CPU, Used: c.hostLoad(h).UsedCPU})
+			n--
+			c.planChanged = true
+			c.Log.Info().Str("host", t.Host).Str("pool", p.Name).Int64("task", t.ID).Msg("host task withdrawn: its pool needs the host")
+			return true
+		})
+	}
+}
+
 // surplusOf returns the surplus history of a pool; it starts one if there is none.
 func (c *Controller) surplusOf(pool string) *shift.SurplusHistory {
 	history := c.surplusHistory[pool]
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -46,6 +46,10 @@
 	faults         []string
 	// loseAnswers is the number of next orders that are carried out but not answered.
 	loseAnswers int
+	// busy tells that no worker gets empty, and longRunning has the workers with
+	// long-running subtasks.
+	busy        bool
+	longRunning map[string]bool
 	// noJobs tells that the pool has had no jobs.
 	noJobs bool
 	// commit is the controllers' call to write to the store.
@@ -74,6 +78,15 @@
 	return f
 }
 
+// addHosts adds n hosts to pool a.
+func (f *fakeFleet) addHosts(n int) {
+	for range n {
+		f.hosts = append(f.hosts, hosts.Host{
+			Name: fmt.Sprintf("m-%d", len(f.hosts)), Pool: "a", State: hosts.Up, Capacity: hosts.Resources{CPU: cpu}, Worker: f.nextWorker(),
+		})
+	}
+}
+
 func (f *fakeFleet) nextWorker() string {
 	f.workersStarted++
 	return fmt.Sprintf("i-%d", f.workersStarted)
@@ -171,9 +184,15 @@
 		time.Sleep(300 * time.Millisecond)
 		d := owner.Digest{DemandCPU: want, MinWorkers: 1, HadJobs: !f.noJobs, Hosts: map[string]owner.HostLoad{}, Released: p.ForPool("a", 1).Release}
 		f.mu.Lock()
+		if f.busy {
+			d.Released = nil
+		}
 		for _, h := range f.hosts {
 			if h.Pool == "a" && h.Worker != "" {
 				d.Hosts[h.Worker] = owner.HostLoad{}
+				if f.longRunning[h.Worker] {
+					d.Hosts[h.Worker] = owner.HostLoad{LongRunning: 1}
+				}
 			}
 		}
 		f.mu.Unlock()
@@ -288,9 +307,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFakeFleet(t)
 		f.noJobs = true
-		for i := 6; i < 10; i++ {
-			f.hosts = append(f.hosts, hosts.Host{Name: fmt.Sprintf("m-%d", i), Pool: "a", State: hosts.Up, Capacity: hosts.Resources{CPU: cpu}, Worker: f.nextWorker()})
-		}
+		f.addHosts(4)
 		ctx, cancel := context.WithCancel(context.Background())
 		defer time.Sleep(5 * time.Second) // lets calls under way end
 		defer cancel()
@@ -309,6 +326,45 @@
 	})
 }
 
+// TestMovesWithdrawn plans moves of hosts that are still busy. A host on which
+// long-running work has started stays, and so do all when their pool needs them again.
+func TestMovesWithdrawn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(t)
+		f.addHosts(4)
+		f.busy, f.longRunning = true, map[string]bool{}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer time.Sleep(5 * time.Second) // lets calls under way end
+		defer cancel()
+		owned, stopOwner := context.WithCancel(ctx)
+		ended := make(chan struct{})
+		go func() { f.runOwner(owned, 0); close(ended) }()
+		f.startController(ctx, "e-1", 0, nil)
+		time.Sleep(6 * time.Second)
+		planned := f.readPlan().Tasks
+		require.Len(t, planned, 4)
+		f.mu.Lock()
+		f.longRunning[planned[0].Worker] = true
+		f.mu.Unlock()
+		time.Sleep(time.Second)
+		for _, task := range f.readPlan().Tasks {
+			require.NotEqual(t, planned[0].Worker, task.Worker)
+		}
+		stopOwner()
+		<-ended
+		go f.runOwner(ctx, 9*cpu)
+		time.Sleep(time.Second)
+		for _, task := range f.readPlan().Tasks {
+			require.NotEqual(t, "a", task.From)
+		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for _, o := range f.received {
+			require.Equal(t, "a", o.Pool, "only the hosts on standby move")
+		}
+	})
+}
+
 // TestDeposedControllerSendsNoOrders elects another fleet controller while one
 // runs.
 func TestDeposedControllerSendsNoOrders(t *testing.T) {
--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -50,10 +50,11 @@
 
 // ForPool returns what the plan, at revision rev, asks of a pool's owner.
 func (p *Plan) ForPool(pool string, rev int64) owner.PoolPlan {
-	w := owner.PoolPlan{Release: map[string]int64{}, Due: map[string]bool{}, Ended: map[string]bool{}, Rev: rev}
+	w := owner.PoolPlan{Release: map[string]int64{}, Stop: map[string]bool{}, Due: map[string]bool{}, Ended: map[string]bool{}, Rev: rev}
 	for _, t := range p.Tasks {
 		if t.From == pool && t.Worker != "" {
 			w.Release[t.Worker] = t.ID
+			w.Stop[t.Worker] = t.Kind == Maintain
 		}
 		if t.Ordered && (t.To == pool || t.To == "" && t.From == pool) {
 			w.Incoming++
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -152,6 +152,9 @@
 type PoolPlan struct {
 	// Release has the workers to empty, with the ID of the plan's task for each.
 	Release map[string]int64
+	// Stop has those of them whose long-running subtasks are to be stopped, because
+	// their hosts are due for maintenance. Hosts with such subtasks don't move.
+	Stop map[string]bool
 	// Due has the workers that will have to be emptied soon for maintenance.
 	Due map[string]bool
 	// Ended has the workers that a move or a maintenance has ended.
--- a/owner/release.go
+++ b/owner/release.go
@@ -51,9 +51,10 @@
 	return n
 }
 
-// stopOnReleased stops long-running subtasks on workers that are to be emptied, as
-// many at a time as their steps allow to be unavailable. Other subtasks end by
-// themselves.
+// stopOnReleased stops long-running subtasks on workers that are to be emptied for
+// maintenance, as many at a time as their steps allow to be unavailable. Other subtasks
+// end by themselves. A worker whose host is to move had no long-running subtasks when
+// that was planned; if one has started there since, the move is withdrawn.
 func (o *Owner) stopOnReleased(now time.Time) {
 	// An earlier owner's stops may still be under way while reports list their
 	// subtasks as serving.
@@ -61,7 +62,7 @@
 		return
 	}
 	for _, h := range o.hosts {
-		if h.releaseTask == 0 {
+		if h.releaseTask == 0 || !o.fleetPlan.Stop[h.id] {
 			continue
 		}
 		for _, p := range h.runs {
--- a/owner/release_test.go
+++ b/owner/release_test.go
@@ -50,6 +50,7 @@
 		r.tasks, r.rows = append(r.tasks, task), append(r.rows, h)
 	}
 	r.rows[0].releaseTask = 7
+	r.fleetPlan.Stop = map[string]bool{"x": true, "y": true}
 	return r
 }
 
@@ -90,6 +91,7 @@
 		"another subtask is starting":              func(r *rig) { r.tasks[1].Percent = 40 },
 		"another subtask waits":                    func(r *rig) { r.tasks[1].Phase = steps.Waiting },
 		"the owner has just been elected":          func(r *rig) { r.startedAt = r.clock.Now() },
+		"its host is to move, not to be maintained": func(r *rig) { delete(r.fleetPlan.Stop, "x") },
 		"an earlier owner's stop may be under way": func(r *rig) { r.startedAt = r.clock.Now().Add(-settled + time.Millisecond) },
 	} {
 		r := newRig(t)
@@ -116,6 +118,7 @@
 		r.reserveRoom(h, &placement{task: task, job: j, run: 1, confirmedAt: r.clock.Now()})
 	}
 	rows[0].releaseTask = 9
+	r.fleetPlan.Stop["w0"] = true
 	first := j.progress.Task(runs.Task{Job: "wide"})
 	begun := r.clock.Now()
 	for first.Phase != steps.Stopping && r.clock.Since(begun) < settled+2*pollWait {
--- a/shift/shift.go
+++ b/shift/shift.go
@@ -93,7 +93,7 @@
 	for i := range pools {
 		p := &pools[i]
 		surplus := Surplus(p, cpu)
-		b := &balance{p, surplus, -surplus - p.Arriving}
+		b := &balance{p, surplus, Shortage(p, cpu)}
 		switch {
 		case b.surplus > 0:
 			donors = append(donors, b)
--- a/shift/standby.go
+++ b/shift/standby.go
@@ -99,3 +99,7 @@
 // Surplus returns the number of hosts that a pool has beyond HostsNeeded, below 0 if
 // it lacks some. Cpu is the CPU of a host in thousandths of a core.
 func Surplus(p *Pool, cpu int) int { return len(p.Hosts) - HostsNeeded(p, cpu) }
+
+// Shortage returns the number of hosts that a pool lacks beyond those that are
+// arriving.
+func Shortage(p *Pool, cpu int) int { return -Surplus(p, cpu) - p.Arriving }
