owner: poll workers often while a long-running subtask starts

Cause: the next subtask of a step with one to spare is stopped, in a wave, when the one before is in service again, which its owner learns from a report up to a second old. A step's 20 subtasks on hosts that are due need 20 such rounds.

Change: such polls wait 0.15 s. TestPollWaitOfStartingLongRunning.

--- a/owner/host.go
+++ b/owner/host.go
@@ -99,6 +99,9 @@
 	maxClockAge = 20 * time.Second
 	// pollWait is how long a worker may hold a poll until a run ends.
 	pollWait = 1000 * time.Millisecond
+	// startPollWait replaces pollWait on a worker with a long-running subtask that is
+	// not in service yet: another one of its step may be stopped as soon as it is.
+	startPollWait = 150 * time.Millisecond
 	// pollGap is the pause after a poll, so that one poll returns several ends.
 	pollGap = 25 * time.Millisecond
 	// pollGapUnstored is the pause while ends wait to be stored: the worker would
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -61,10 +61,14 @@
 		n.UntilMs = h.workerClock(now) + o.leaseLength().Milliseconds()
 	}
 	if h.failingSince.IsZero() && h.answered && len(h.runs) > 0 && len(h.unacked) == 0 {
-		n.WaitMs = int(pollWait.Milliseconds())
-		if h.servesAndFills() {
-			n.WaitMs = int(mixedPollWait.Milliseconds())
+		wait := pollWait
+		switch {
+		case h.startsLongRunning():
+			wait = startPollWait
+		case h.servesAndFills():
+			wait = mixedPollWait
 		}
+		n.WaitMs = int(wait.Milliseconds())
 	}
 	o.Stats.Polls.Inc(1)
 	to := h.target()
@@ -74,6 +78,17 @@
 	}()
 }
 
+// startsLongRunning reports whether a long-running subtask on the worker is not in
+// service yet.
+func (h *host) startsLongRunning() bool {
+	for _, p := range h.runs {
+		if p.task.Step.LongRunning && p.task.Phase == steps.Running && !p.task.Serving() {
+			return true
+		}
+	}
+	return false
+}
+
 // handlePoll applies a worker's report.
 func (o *Owner) handlePoll(m pollResult) {
 	h, now := m.host, o.Clock.Now()
--- a/owner/release_test.go
+++ b/owner/release_test.go
@@ -155,3 +155,22 @@
 	r.updateWorker(h.worker, r.clock.Now())
 	require.NotContains(t, r.hosts, "x", "its entry has yet to be removed")
 }
+
+// TestPollWaitOfStartingLongRunning checks that a worker whose long-running subtask has
+// restarted is polled often until it is in service: in a wave, the next one of its step
+// can be stopped then.
+func TestPollWaitOfStartingLongRunning(t *testing.T) {
+	r := newRig(t)
+	waits := make(chan int, 1)
+	r.Workers.Renew = func(_ context.Context, _ runs.Target, n runs.Renew) (runs.Report, error) {
+		waits <- n.WaitMs
+		return runs.Report{}, nil
+	}
+	h := r.rows[1]
+	h.answered = true
+	r.poll(h, r.clock.Now())
+	require.EqualValues(t, pollWait.Milliseconds(), <-waits)
+	r.tasks[1].Percent = 40
+	r.poll(h, r.clock.Now())
+	require.EqualValues(t, startPollWait.Milliseconds(), <-waits)
+}
