owner: list the jobs when a watch hears nothing while jobs are expected

Cause: watches hear nothing for a second before the store discards its history.

Change: a watch of the jobs waits for as long as five jobs take to arrive by the measured inflow, between 0.1 and 0.4 s. If it hears nothing, the jobs are listed. TestJobsStartWhileWatchIsSilent failed before.

--- a/fakes/kv.go
+++ b/fakes/kv.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"shallotpaddle/plat"
@@ -40,6 +41,8 @@
 // transactions, leases and watches. It uses the clock of package time, so that it
 // can run in a synctest bubble.
 type KV struct {
+	// silent makes watches hear of no change.
+	silent atomic.Bool
 	// LateCompaction makes watches report compacted history only when their wait is
 	// over.
 	LateCompaction bool
@@ -168,6 +171,9 @@
 		if err != nil && k.LateCompaction {
 			return nil, 0, errAfterWait(ctx, end, err)
 		}
+		if k.silent.Load() {
+			out = nil
+		}
 		if err != nil || len(out) > 0 {
 			return out, rev, err
 		}
@@ -206,6 +212,9 @@
 	return out, k.rev, k.changed, nil
 }
 
+// SetSilent sets whether watches hear of no change, until their wait is over.
+func (k *KV) SetSilent(silent bool) { k.silent.Store(silent) }
+
 // Compact discards the events up to the present revision.
 func (k *KV) Compact() {
 	k.mu.Lock()
--- a/owner/digest.go
+++ b/owner/digest.go
@@ -146,6 +146,11 @@
 	}
 	o.digestDue = false
 	o.digestCheckedAt = now
+	perSecond := 0.0
+	for _, f := range o.inflows {
+		perSecond += f.PerSecond(now)
+	}
+	o.jobsPerSecond.Store(math.Float64bits(perSecond))
 	if s := string(o.encodeDigest()); s != o.publishedDigest {
 		o.publishedDigest = s
 		o.publishedDemand = o.demand
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -11,6 +11,8 @@
 import (
 	"context"
 	"errors"
+	"math"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/quartz"
@@ -92,6 +94,10 @@
 	roster         *doc // the stored list of workers that may have runs of the pool
 	digest         *doc // the stored summary of demand and load, for other entries
 
+	// jobsPerSecond is the rate of arriving jobs, as the bits of a float64, for
+	// watchJobs.
+	jobsPerSecond atomic.Uint64
+
 	lastPass        time.Time // time of the last scheduling pass
 	passNeeded      bool      // something changed that may let a subtask start
 	err             error     // ErrDeposed when another owner was elected; ends Run
@@ -321,14 +327,30 @@
 // wait is over.
 const maxWatchWait = 400 * time.Millisecond
 
+const (
+	// suspectJobs is the number of jobs expected during a watch from which a watch
+	// without any is suspect: by chance, that happens once in 150 watches.
+	suspectJobs = 5
+	// minWatchWait is the shortest wait of a watch.
+	minWatchWait = 100 * time.Millisecond
+)
+
 // watchJobs posts the jobs and cancellations that entries write for the pool.
+//
+// Before the store discards its history, watches may hear nothing for a second. A
+// watch that hears nothing while jobs are expected is replaced by a list.
 func (o *Owner) watchJobs(ctx context.Context, rev int64) {
 	prefix := JobPrefix(o.Pool)
 	for ctx.Err() == nil {
-		items, next, err := o.Store.Watch(ctx, prefix, rev, maxWatchWait)
-		if errors.Is(err, plat.ErrCompacted) {
+		wait := o.watchWait()
+		items, next, err := o.Store.Watch(ctx, prefix, rev, wait)
+		switch {
+		case errors.Is(err, plat.ErrCompacted):
 			items, next, err = o.Store.List(ctx, prefix)
 			o.Log.Info().Str("pool", o.Pool).Int64("rev", rev).Err(err).Msg("watch history was compacted; listing all jobs")
+		case err == nil && len(items) == 0 && wait < maxWatchWait:
+			items, next, err = o.Store.List(ctx, prefix)
+			o.Log.Info().Str("pool", o.Pool).Int64("rev", rev).Dur("silent", wait).Err(err).Msg("watch is silent; listing all jobs")
 		}
 		if err != nil {
 			o.Stats.WatchesFailed.Inc(1)
@@ -342,6 +364,14 @@
 	}
 }
 
+// watchWait returns how long a watch of the pool's jobs may wait for a change: the time
+// in which suspectJobs are expected.
+func (o *Owner) watchWait() time.Duration {
+	perSecond := math.Float64frombits(o.jobsPerSecond.Load())
+	wait := time.Duration(suspectJobs / max(perSecond, 1) * float64(time.Second))
+	return max(min(wait, maxWatchWait), minWatchWait)
+}
+
 // sleep waits for d or until the context ends.
 func (o *Owner) sleep(ctx context.Context, d time.Duration) {
 	t := o.Clock.NewTimer(d)
--- a/owner/release_test.go
+++ b/owner/release_test.go
@@ -85,14 +85,14 @@
 // its subtask down, or an earlier owner's stops were still under way.
 func TestReleaseWaits(t *testing.T) {
 	for name, spoil := range map[string]func(r *rig){
-		"another worker is silent":                 func(r *rig) { r.rows[1].failingSince = r.clock.Now() },
-		"another worker's report is old":           func(r *rig) { r.rows[1].lastReport = r.clock.Now().Add(-maxReportAge) },
-		"another worker has ended":                 func(r *rig) { delete(r.hosts, "y") },
-		"another subtask is starting":              func(r *rig) { r.tasks[1].Percent = 40 },
-		"another subtask waits":                    func(r *rig) { r.tasks[1].Phase = steps.Waiting },
-		"the owner has just been elected":          func(r *rig) { r.startedAt = r.clock.Now() },
+		"another worker is silent":                  func(r *rig) { r.rows[1].failingSince = r.clock.Now() },
+		"another worker's report is old":            func(r *rig) { r.rows[1].lastReport = r.clock.Now().Add(-maxReportAge) },
+		"another worker has ended":                  func(r *rig) { delete(r.hosts, "y") },
+		"another subtask is starting":               func(r *rig) { r.tasks[1].Percent = 40 },
+		"another subtask waits":                     func(r *rig) { r.tasks[1].Phase = steps.Waiting },
+		"the owner has just been elected":           func(r *rig) { r.startedAt = r.clock.Now() },
 		"its host is to move, not to be maintained": func(r *rig) { delete(r.fleetPlan.Stop, "x") },
-		"an earlier owner's stop may be under way": func(r *rig) { r.startedAt = r.clock.Now().Add(-settled + time.Millisecond) },
+		"an earlier owner's stop may be under way":  func(r *rig) { r.startedAt = r.clock.Now().Add(-settled + time.Millisecond) },
 	} {
 		r := newRig(t)
 		r.after(settled)
--- a/owner/rules_test.go
+++ b/owner/rules_test.go
@@ -248,3 +248,25 @@
 	})
 	require.Zero(t, pool.countOpen())
 }
+
+// Watches hear nothing for more than a second in a peak, before the store discards its
+// history. Accepted jobs start all the same.
+func TestJobsStartWhileWatchIsSilent(t *testing.T) {
+	withoutFaults(t, 6, func(_ context.Context, pool *testPool) {
+		time.AfterFunc(time.Second, func() { pool.kv.SetSilent(true) })
+		time.AfterFunc(2300*time.Millisecond, func() {
+			pool.kv.SetSilent(false)
+			pool.kv.Compact()
+		})
+		for i := range 120 {
+			id := fmt.Sprintf("%016x", i)
+			pool.submit(&steps.Job{ID: id, Queue: "q", MaxAttempts: 3, Steps: []steps.Step{{Count: 1, CPU: 100, EstimateMs: 500}}})
+			time.AfterFunc(500*time.Millisecond, func() {
+				_, running := pool.workers.Running()[runs.Task{Job: id}]
+				require.True(t, running || pool.state(id).Started, "job %d", i)
+			})
+			time.Sleep(25 * time.Millisecond)
+		}
+		time.Sleep(5 * time.Second)
+	})
+}
--- a/shift/inflow.go
+++ b/shift/inflow.go
@@ -51,6 +51,12 @@
 	f.meanWork += (work - f.meanWork) / f.jobs
 }
 
+// PerSecond returns the number of jobs that arrive in a second.
+func (f *Inflow) PerSecond(now time.Time) float64 {
+	_, recent, window := f.counts(now)
+	return recent / window.Seconds()
+}
+
 // CPU returns the CPU that the arriving work asks for, in thousandths of a core.
 func (f *Inflow) CPU(now time.Time) int {
 	_, recent, window := f.counts(now)
