shift: keep a third of the hosts until the demand is known

Cause: with all hosts kept in their pools until queues have jobs, 310 hosts were paid for the 14 s before; with none kept, the first queue in its turn had no host.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -83,6 +83,9 @@
 	reportedWaves map[string]bool
 	// surplusHistory has the recent numbers of surplus hosts, by pool.
 	surplusHistory map[string]*shift.SurplusHistory
+	// mostHosts has the largest number of hosts of each pool before the demand was
+	// known.
+	mostHosts map[string]int
 	// firstJobSeen is when a digest first told of jobs that end by themselves.
 	firstJobSeen time.Time
 	// orderedBefore has the hosts to which an earlier controller may have sent orders.
@@ -109,7 +112,7 @@
 	return &Controller{
 		Params: p, digests: map[string]owner.Digest{}, acceptedAt: map[int64]time.Time{},
 		reportedWaves: map[string]bool{}, surplusHistory: map[string]*shift.SurplusHistory{}, refusedHosts: map[string]map[string]bool{},
-		orderedBefore: map[string]bool{}, recentUntil: map[string]time.Time{},
+		mostHosts: map[string]int{}, orderedBefore: map[string]bool{}, recentUntil: map[string]time.Time{},
 	}
 }
 
@@ -351,7 +354,10 @@
 	for i := range pools {
 		c.surplusOf(pools[i].Name).Add(now, shift.Surplus(&pools[i], cpu))
 	}
-	if len(moves) == 0 && shift.DemandKnown(now, c.startedAt, c.firstJobSeen) {
+	if !shift.DemandKnown(now, c.startedAt, c.firstJobSeen) {
+		c.keepHosts(pools)
+	}
+	if len(moves) == 0 {
 		moves = shift.MovesToStandby(pools, cpu, func(pool string) int { return c.surplusOf(pool).Min(now) })
 	}
 	for _, m := range moves {
@@ -360,6 +366,16 @@
 	}
 }
 
+// keepHosts raises the least number of hosts of each pool to those that it keeps until
+// the demand is known.
+func (c *Controller) keepHosts(pools []shift.Pool) {
+	for i := range pools {
+		p := &pools[i]
+		c.mostHosts[p.Name] = max(c.mostHosts[p.Name], len(p.Hosts)+p.Arriving)
+		p.MinHosts = max(p.MinHosts, shift.HostsKept(c.mostHosts[p.Name]))
+	}
+}
+
 // withdrawMoves removes the tasks of hosts that have not been ordered to leave pools
 // that lack hosts now, and adds these hosts to their pools.
 func (c *Controller) withdrawMoves(pools []shift.Pool, cpu int) {
--- a/shift/standby.go
+++ b/shift/standby.go
@@ -13,15 +13,22 @@
 	// idleReleaseDelay is the time without any job after which hosts go to standby
 	// although the demand is not known.
 	idleReleaseDelay = 30 * time.Second
+	// unknownDivisor divides a pool's hosts for those that stay until the demand is
+	// known.
+	unknownDivisor = 3
 )
 
-// DemandKnown tells whether hosts may go to standby: not before the inflow of jobs
-// could be measured over a whole window. FirstJob is when a job that ends was first
-// seen in any queue, or the zero time, and started when the decisions began.
+// HostsKept returns the number of hosts that a pool keeps until the demand is known:
+// a third of the most that it has had.
 //
 // When the whole system starts, operators have given hosts to the pools and no queue
-// has had a job. If the hosts went to standby then, the first queue in its turn would
-// wait for them to come back.
+// has had a job. If all hosts went to standby then, the first queue in its turn would
+// have none until they came back; if all stayed, they would be paid for in vain.
+func HostsKept(most int) int { return divideUp(most, unknownDivisor) }
+
+// DemandKnown tells whether all surplus hosts may go to standby: not before the inflow
+// of jobs could be measured over a whole window. FirstJob is when a job that ends was
+// first seen in any queue, or the zero time, and started when the decisions began.
 func DemandKnown(now, started, firstJob time.Time) bool {
 	if firstJob.IsZero() {
 		return now.Sub(started) >= idleReleaseDelay
