steps: read the failures in records of earlier builds

The list of failed runs had taken the tag of their number, so that an owner of a new build couldn't read the progress stored by one of an earlier build. It has a tag of its own, and records without it are read as before.

--- a/steps/record.go
+++ b/steps/record.go
@@ -19,10 +19,27 @@
 	Step           int    `json:"s,omitempty"`
 	Index          int    `json:"i,omitempty"`
 	Done           bool   `json:"d,omitempty"`
-	FailedRuns     []int  `json:"f,omitempty"`
+	FailedRuns     []int  `json:"failed,omitempty"`
 	Run            int    `json:"r,omitempty"`
 	Checkpoint     string `json:"c,omitempty"`
 	HighestVoidRun int    `json:"v,omitempty"`
+	// Failures and LastFailedRun stand in records of earlier builds, in place of
+	// FailedRuns.
+	Failures      int `json:"f,omitempty"`
+	LastFailedRun int `json:"l,omitempty"`
+}
+
+// failedRuns returns the failed runs. In place of those that an earlier build didn't
+// record it has negative numbers.
+func (v *TaskRecord) failedRuns() []int {
+	if v.Failures == 0 {
+		return v.FailedRuns
+	}
+	out := []int{v.LastFailedRun}
+	for n := 1; n < v.Failures; n++ {
+		out = append(out, -n)
+	}
+	return out
 }
 
 // Record returns the durable progress. For a job that has ended it has only the
@@ -52,7 +69,7 @@
 			continue
 		}
 		task.Run = max(task.Run, v.Run)
-		task.FailedRuns, task.Checkpoint, task.HighestVoidRun = v.FailedRuns, v.Checkpoint, v.HighestVoidRun
+		task.FailedRuns, task.Checkpoint, task.HighestVoidRun = v.failedRuns(), v.Checkpoint, v.HighestVoidRun
 		if v.Done && task.Phase != Finished {
 			p.finish(task)
 		}
--- a/steps/track_test.go
+++ b/steps/track_test.go
@@ -94,6 +94,16 @@
 	}
 }
 
+// A record of an earlier build has the number of failures and the last failed run.
+func TestRestoreFailuresOfEarlierBuild(t *testing.T) {
+	j := job(steps.Step{Count: 1})
+	j.MaxAttempts = 3
+	progress := steps.NewProgress(j)
+	progress.Restore(steps.Record{Tasks: []steps.TaskRecord{{Failures: 2, LastFailedRun: 2, Run: 2}}})
+	require.False(t, runAndEnd(progress, 0, 0, 2, runs.Failed), "counted already")
+	require.True(t, runAndEnd(progress, 0, 0, 3, runs.Failed))
+}
+
 func TestExceedsAttempts(t *testing.T) {
 	for name, c := range map[string]struct {
 		failed      []int
