owner: give up a watch that outlasts its wait while jobs are expected

Change: while jobs are expected, a watch may take 0.3 s longer than its wait. The simulated store holds silent watches in the same way, and TestJobsStartWhileWatchIsSilent failed with it.

--- a/fakes/kv.go
+++ b/fakes/kv.go
@@ -7,7 +7,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"shallotpaddle/plat"
@@ -41,8 +40,8 @@
 // transactions, leases and watches. It uses the clock of package time, so that it
 // can run in a synctest bubble.
 type KV struct {
-	// silent makes watches hear of no change.
-	silent atomic.Bool
+	// silent makes watches hear of no change, and wait longer than asked for.
+	silent bool
 	// LateCompaction makes watches report compacted history only when their wait is
 	// over.
 	LateCompaction bool
@@ -168,12 +167,17 @@
 	end := time.After(wait)
 	for {
 		out, rev, changed, err := k.changesAfter(prefix, after)
+		if changed != nil && k.isSilent() {
+			select {
+			case <-changed:
+				continue
+			case <-ctx.Done():
+				return nil, 0, ctx.Err()
+			}
+		}
 		if err != nil && k.LateCompaction {
 			return nil, 0, errAfterWait(ctx, end, err)
 		}
-		if k.silent.Load() {
-			out = nil
-		}
 		if err != nil || len(out) > 0 {
 			return out, rev, err
 		}
@@ -187,6 +191,12 @@
 	}
 }
 
+func (k *KV) isSilent() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.silent
+}
+
 // errAfterWait returns an error when the wait of a watch is over.
 func errAfterWait(ctx context.Context, end <-chan time.Time, err error) error {
 	select {
@@ -212,8 +222,13 @@
 	return out, k.rev, k.changed, nil
 }
 
-// SetSilent sets whether watches hear of no change, until their wait is over.
-func (k *KV) SetSilent(silent bool) { k.silent.Store(silent) }
+// SetSilent sets whether watches hear of no change, and wait longer than asked for.
+func (k *KV) SetSilent(silent bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.silent = silent
+	k.notify()
+}
 
 // Compact discards the events up to the present revision.
 func (k *KV) Compact() {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -331,6 +331,9 @@
 	// suspectJobs is the number of jobs expected during a watch from which a watch
 	// without any is suspect: by chance, that happens once in 150 watches.
 	suspectJobs = 5
+	// watchGrace is how much longer than its wait a watch may take while jobs are
+	// expected.
+	watchGrace = 300 * time.Millisecond
 	// minWatchWait is the shortest wait of a watch.
 	minWatchWait = 100 * time.Millisecond
 )
@@ -343,12 +346,12 @@
 	prefix := JobPrefix(o.Pool)
 	for ctx.Err() == nil {
 		wait := o.watchWait()
-		items, next, err := o.Store.Watch(ctx, prefix, rev, wait)
+		items, next, err := o.watchOnce(ctx, prefix, rev, wait)
 		switch {
 		case errors.Is(err, plat.ErrCompacted):
 			items, next, err = o.Store.List(ctx, prefix)
 			o.Log.Info().Str("pool", o.Pool).Int64("rev", rev).Err(err).Msg("watch history was compacted; listing all jobs")
-		case err == nil && len(items) == 0 && wait < maxWatchWait:
+		case len(items) == 0 && wait < maxWatchWait:
 			items, next, err = o.Store.List(ctx, prefix)
 			o.Log.Info().Str("pool", o.Pool).Int64("rev", rev).Dur("silent", wait).Err(err).Msg("watch is silent; listing all jobs")
 		}
@@ -364,6 +367,17 @@
 	}
 }
 
+// watchOnce watches once. A store that is about to discard its history doesn't end
+// watches when their wait is over; while jobs are expected, the caller lists them then.
+func (o *Owner) watchOnce(ctx context.Context, prefix string, rev int64, wait time.Duration) ([]plat.Item, int64, error) {
+	if wait < maxWatchWait {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, wait+watchGrace)
+		defer cancel()
+	}
+	return o.Store.Watch(ctx, prefix, rev, wait)
+}
+
 // watchWait returns how long a watch of the pool's jobs may wait for a change: the time
 // in which suspectJobs are expected.
 func (o *Owner) watchWait() time.Duration {
