owner: give up a silent watch 0.15 s after its wait

A watch of the store that works ends within 5 ms of its wait, and a slow one within 0.25 s; the list that follows serves then.

--- a/owner/owner.go
+++ b/owner/owner.go
@@ -333,7 +333,7 @@
 	suspectJobs = 5
 	// watchGrace is how much longer than its wait a watch may take while jobs are
 	// expected.
-	watchGrace = 300 * time.Millisecond
+	watchGrace = 150 * time.Millisecond
 	// minWatchWait is the shortest wait of a watch.
 	minWatchWait = 100 * time.Millisecond
 )
