steps: bound the subtasks of a job, and survive malformed stored values

Looked for: one malformed message that takes a process down. A job with very many occurrences or subtasks was accepted and stored; its owner allocated them all, was ended for its memory or by a panic, and so was the next owner.

--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -128,7 +128,11 @@
 		return
 	}
 	var doc steps.Job
-	if err := json.Unmarshal(it.Value, &doc); err != nil {
+	err := json.Unmarshal(it.Value, &doc)
+	if err == nil {
+		err = doc.Check()
+	}
+	if err != nil {
 		o.Log.Error().Str("job", id).Err(err).Msg("stored job is not readable")
 		return
 	}
--- a/steps/job.go
+++ b/steps/job.go
@@ -17,6 +17,9 @@
 	MaxPayload = 4000    // bytes
 	MaxSteps   = 256     // steps of a job
 	MaxCount   = 1 << 14 // subtasks of a step
+	// MaxSubtasks is the number of subtasks of all steps in all occurrences. An owner
+	// keeps them in memory: a job of millions would end every owner in turn.
+	MaxSubtasks = 1 << 16
 )
 
 // Job is an accepted job. It is stored as JSON and doesn't change.
@@ -98,11 +101,18 @@
 	if len(j.Payload) > MaxPayload || len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
 		return fmt.Errorf("%w: payload of %d bytes, %d steps", ErrInvalid, len(j.Payload), len(j.Steps))
 	}
+	if j.Repetitions < 0 || j.Repetitions > MaxSubtasks {
+		return fmt.Errorf("%w: %d occurrences", ErrInvalid, j.Repetitions)
+	}
+	subtasks := 0
 	for i := range j.Steps {
 		s := &j.Steps[i]
 		if s.Count < 1 || s.Count > MaxCount || s.CPU < 0 || s.Mem < 0 || s.GPU < 0 {
 			return fmt.Errorf("%w: step %d has a count or a demand out of range", ErrInvalid, i)
 		}
+		if subtasks += s.Count * j.Occurrences(); subtasks > MaxSubtasks {
+			return fmt.Errorf("%w: more than %d subtasks", ErrInvalid, MaxSubtasks)
+		}
 		for _, a := range s.After {
 			if a < 0 || a >= i {
 				return fmt.Errorf("%w: step %d depends on step %d, which is not before it", ErrInvalid, i, a)
--- a/steps/track.go
+++ b/steps/track.go
@@ -117,7 +117,7 @@
 
 // Task returns a subtask, or nil if the job has none with that ID.
 func (p *Progress) Task(id runs.Task) *Task {
-	if id.Occur >= len(p.occurrences) || id.Step >= len(p.Job.Steps) || id.Index >= p.Job.Steps[id.Step].Count {
+	if min(id.Occur, id.Step, id.Index) < 0 || id.Occur >= len(p.occurrences) || id.Step >= len(p.Job.Steps) || id.Index >= p.Job.Steps[id.Step].Count {
 		return nil
 	}
 	return p.occurrence(id.Occur).tasks[id.Step][id.Index]
--- a/steps/track_test.go
+++ b/steps/track_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -163,12 +164,25 @@
 		"step after a later one": job(steps.Step{Count: 1}, steps.Step{Count: 1, After: []int{2}}),
 		"negative demand":        job(steps.Step{Count: 1, CPU: -1}),
 		"too many subtasks":      job(steps.Step{Count: steps.MaxCount + 1}),
+		"too many in all steps":  job(slices.Repeat([]steps.Step{{Count: steps.MaxCount}}, 5)...),
+		"too many occurrences":   {ID: "j", Repetitions: 1 << 40, Steps: []steps.Step{{Count: 1}}},
+		"too many in all times":  {ID: "j", Repetitions: 1000, Steps: []steps.Step{{Count: 100}}},
+		"negative occurrences":   {ID: "j", Repetitions: -1, Steps: []steps.Step{{Count: 1}}},
 	} {
 		require.ErrorIs(t, j.Check(), steps.ErrInvalid, name)
 	}
 	require.NoError(t, job(steps.Step{Count: 1}, steps.Step{Count: 1, After: []int{0}}).Check())
 }
 
+// A stored record may name subtasks that the job doesn't have.
+func TestRestoreIgnoresUnknownSubtasks(t *testing.T) {
+	progress := steps.NewProgress(job(steps.Step{Count: 1}))
+	progress.Restore(steps.Record{Tasks: []steps.TaskRecord{
+		{Occur: -1, Done: true}, {Step: -1, Done: true}, {Index: -1, Done: true}, {Occur: 9, Done: true}, {Step: 9, Done: true}, {Index: 9, Done: true},
+	}})
+	require.Equal(t, []string{"0.0.0"}, ready(progress, time.Time{}))
+}
+
 func TestCriticalPath(t *testing.T) {
 	progress := steps.NewProgress(job(
 		steps.Step{Count: 1, EstimateMs: 100}, steps.Step{Count: 1, EstimateMs: 200, After: []int{0}}, steps.Step{Count: 1, EstimateMs: 250},
