front: leave the connection's deadline to the server once a handler has ended

The client of the workers reads the request's body in a goroutine of its own, which may come to its end just then; the body then lifted the deadline, and server and caller waited for each other. A part of 200,000 bytes that is still unread gave the same for the stall timeout.

Ruled out: rounds of route's watch, which had ended; a lost wake-up in endpt.Body, none waited there.

Change: the body sets no deadline once the handler has returned or panicked. TestNoDeadlineAfterHandler failed before.

--- a/front/duplex.go
+++ b/front/duplex.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -96,26 +97,45 @@
 	io.ReadCloser
 	atEOF atomic.Bool
 	// short is set when the declared length is at most shortBodyBytes.
-	short           bool
-	stallTimeout    time.Duration         // 0 means no limit
-	setReadDeadline func(time.Time) error // of the connection
+	short        bool
+	stallTimeout time.Duration // 0 means no limit
+
+	mu sync.Mutex
+	// setReadDeadline is that of the connection, nil once the handler has returned.
+	// From then on the server interrupts reads by the deadline: a later one, set by a
+	// read that is still under way in another goroutine, would leave the server and
+	// the caller waiting for each other.
+	setReadDeadline func(time.Time) error
 }
 
 // extendDeadline gives the next bytes stallTimeout to arrive.
-func (b *trackedBody) extendDeadline() {
-	if b.stallTimeout > 0 {
-		_ = b.setReadDeadline(time.Now().Add(b.stallTimeout)) // the error is ignored: only real connections have deadlines
+func (b *trackedBody) extendDeadline() { b.setDeadline(time.Now().Add(b.stallTimeout)) }
+
+// setDeadline sets the connection's read deadline, unless there is no limit or the
+// handler has returned.
+func (b *trackedBody) setDeadline(t time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.stallTimeout > 0 && b.setReadDeadline != nil {
+		_ = b.setReadDeadline(t) // the error is ignored: only real connections have deadlines
 	}
 }
 
+// detach leaves the connection's read deadline to the server.
+func (b *trackedBody) detach() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.setReadDeadline = nil
+}
+
 // Read reads the body.
 func (b *trackedBody) Read(p []byte) (int, error) {
 	if !b.atEOF.Load() {
 		b.extendDeadline()
 	}
 	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) && !b.atEOF.Swap(true) && b.stallTimeout > 0 {
-		_ = b.setReadDeadline(time.Time{}) // the server keeps reading to detect that the caller disconnects
+	if errors.Is(err, io.EOF) && !b.atEOF.Swap(true) {
+		b.setDeadline(time.Time{}) // the server keeps reading to detect that the caller disconnects
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		err = fmt.Errorf("%w: nothing for %v", errStalled, b.stallTimeout)
--- a/front/server.go
+++ b/front/server.go
@@ -88,6 +88,7 @@
 		}
 		ctx := context.WithValue(r.Context(), bodyLengthKey{}, r.ContentLength)
 		bw, r := newBodyAwareWriter(w, r.WithContext(ctx), limits)
+		defer bw.body.detach()
 		next.ServeHTTP(bw, r)
 	})
 }
--- a/front/server_test.go
+++ b/front/server_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,6 +20,38 @@
 	"shallotpaddle/table"
 )
 
+// TestNoDeadlineAfterHandler reads a body in another goroutine, as the client of the
+// workers does, when the handler has ended. The read must not touch the connection's
+// deadline: the server uses it to interrupt a read, and waits for that.
+func TestNoDeadlineAfterHandler(t *testing.T) {
+	for _, abort := range []bool{false, true} {
+		var body *trackedBody
+		var set atomic.Int64
+		s := httptest.NewServer(limitBody(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			body = r.Body.(*trackedBody)
+			setDeadline := body.setReadDeadline
+			body.setReadDeadline = func(t time.Time) error {
+				set.Add(1)
+				return setDeadline(t)
+			}
+			w.WriteHeader(http.StatusOK)
+			if abort {
+				panic(http.ErrAbortHandler)
+			}
+		}), conf.Listener{MaxBodyBytes: 4 << 20, StallTimeout: table.Duration(time.Minute)}))
+		res, err := s.Client().Post(s.URL, "text/plain", strings.NewReader(strings.Repeat("x", 200_000)))
+		if err == nil {
+			_ = res.Body.Close()
+		}
+		s.CloseClientConnections()
+		s.Close()
+		before := set.Load()
+		_, err = body.Read(make([]byte, 10))
+		require.Error(t, err, "abort %v", abort)
+		require.Equal(t, before, set.Load(), "abort %v", abort)
+	}
+}
+
 // TestUnreadBody sends requests whose bodies the handler leaves unread, and a
 // second request on the same connection. No byte of a body may be parsed as a
 // request, and a connection whose response lacks Connection: close must serve the
