--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: all fmt lint gen tests fuzz bench clean
+.PHONY: all fmt lint gen tests fuzz bench days clean
 
 all: shallotpaddle
 
@@ -25,5 +25,19 @@
 bench:
 	$(GO) run ./bench
 
+# days plays days of the users' deployments on their bench: BENCH is its program, KIT
+# the folder of the deployments' files.
+SITES ?= large/bula-diary-large further/tanglaw-sched further-grown/tanglaw-sched-grown \
+	grown/bula-diary-grown grown/prb-sched-grown sites/prb-sched
+DAYS ?= 8
+JOBS ?= 3
+
+days:
+	@if [ ! -x "$(BENCH)" ] || [ ! -d "$(KIT)" ]; then \
+		echo "days: not played, as the bench is not here; set BENCH and KIT"; \
+	else \
+		for s in $(SITES); do "$(BENCH)" hunt "$(KIT)/$$s.toml" --days $(DAYS) --jobs $(JOBS) --why "regression" || exit 1; done; \
+	fi
+
 clean:
 	rm -f shallotpaddle
