owner: keep an earlier owner's lease on a worker that has just answered

Cause: after its first answer a worker counted as without a lease until the next poll gave one.

Change: at its first answer a worker has the longest lease that an owner gives.

--- a/owner/poll.go
+++ b/owner/poll.go
@@ -116,6 +116,8 @@
 	if !h.answered {
 		h.answered = true
 		o.passNeeded = true
+		// Its runs may hold a lease that an earlier owner gave until now.
+		h.leaseUntil = max(h.leaseUntil, m.report.ClockMs+leaseCap.Milliseconds())
 	}
 	if m.report.StartedMs != 0 {
 		h.startedMs = m.report.StartedMs
--- a/owner/release_test.go
+++ b/owner/release_test.go
@@ -174,3 +174,24 @@
 	r.poll(h, r.clock.Now())
 	require.EqualValues(t, startPollWait.Milliseconds(), <-waits)
 }
+
+// TestAdoptedRunKeepsItsLease lets a worker fail a poll right after it has answered a
+// new owner for the first time: its runs hold the lease of the earlier owner, and must
+// not start elsewhere before that is over.
+func TestAdoptedRunKeepsItsLease(t *testing.T) {
+	r := newRig(t)
+	h := newHost(hosts.Worker{ID: "w"})
+	h.listed = true
+	r.hosts["w"] = h
+	r.addJob(&steps.Job{ID: "k", Steps: []steps.Step{{Count: 1}}}, false)
+	task := runs.Task{Job: "k"}
+	r.handlePoll(pollResult{host: h, sent: r.clock.Now(), report: runs.Report{Reply: runs.Reply{ClockMs: 60_000}, Running: []runs.Running{{Task: task, Run: 1}}}})
+	require.Contains(t, h.runs, task)
+	h.failingSince = r.clock.Now()
+	r.clock.Advance(leaseCap)
+	r.expireLeases(r.clock.Now())
+	require.Contains(t, r.hosts, "w")
+	r.clock.Advance(leaseCap + unreachableGrace)
+	r.expireLeases(r.clock.Now())
+	require.NotContains(t, r.hosts, "w")
+}
