owner: count the lease of a poll from its sending

The lease that a poll gives counted when its answer came. A worker that was taken for silent meanwhile could count as without a lease for the wait of a poll.

--- a/owner/poll.go
+++ b/owner/poll.go
@@ -20,12 +20,11 @@
 
 // pollResult is the result of a poll: a worker's report or an error.
 type pollResult struct {
-	host       *host
-	report     runs.Report
-	sent       time.Time
-	acked      int64 // the highest end acknowledged by the poll
-	leaseUntil int64 // the end of the lease given, in milliseconds of the worker's clock
-	err        error
+	host   *host
+	report runs.Report
+	sent   time.Time
+	acked  int64 // the highest end acknowledged by the poll
+	err    error
 }
 
 // pollDue reports whether a worker is to be polled now.
@@ -59,6 +58,7 @@
 		// The lease of a worker that does not answer is not extended: otherwise each
 		// poll would postpone the time at which it expires.
 		n.UntilMs = h.workerClock(now) + o.leaseLength().Milliseconds()
+		h.leaseUntil = max(h.leaseUntil, n.UntilMs)
 	}
 	if h.failingSince.IsZero() && h.answered && len(h.runs) > 0 && len(h.unacked) == 0 {
 		wait := pollWait
@@ -74,7 +74,7 @@
 	to := h.target()
 	go func() {
 		r, err := o.Workers.Renew(o.ctx, to, n)
-		o.post(pollResult{h, r, now, n.AckedThrough, n.UntilMs, err})
+		o.post(pollResult{h, r, now, n.AckedThrough, err})
 	}()
 }
 
@@ -93,7 +93,6 @@
 func (o *Owner) handlePoll(m pollResult) {
 	h, now := m.host, o.Clock.Now()
 	h.polling = false
-	h.leaseUntil = max(h.leaseUntil, m.leaseUntil)
 	if o.hosts[h.id] != h {
 		return // the incarnation ended meanwhile
 	}
