route: ask about each awaited task on its own schedule, and every 4 s

The worker was asked in common rounds of 5 s, the first up to 10 s after the wait began, and given up after the sixth without an answer: up to 37 s, while limits.watch promises six intervals.

Change: the first question comes one interval after the wait began, the next ones an interval after each other, checked every 0.25 s; the default of limits.watch is 4 s in place of 5. TestSilentWorkerIsGivenUpInTime; TestWatch now also asks that a poll isn't due early.

--- a/conf/limits.go
+++ b/conf/limits.go
@@ -19,7 +19,7 @@
 	DefaultCommitInterval = 50 * time.Millisecond
 	// DefaultTaskCheckInterval is the interval at which a worker is asked for the state
 	// of a task whose response is pending.
-	DefaultTaskCheckInterval = 5 * time.Second
+	DefaultTaskCheckInterval = 4 * time.Second
 	// DefaultTickInterval is the interval of the control loop.
 	DefaultTickInterval = 50 * time.Millisecond
 
--- a/route/router.go
+++ b/route/router.go
@@ -98,11 +98,11 @@
 // Run grants slots to waiting work and cancels dispatches whose answer can't
 // arrive any more, until ctx ends.
 func (r *Router) Run(ctx context.Context) error {
-	nextPoll := r.clock.Now().Add(r.pollInterval)
+	nextPoll := r.clock.Now().Add(watchTick)
 	return r.clock.TickerFunc(ctx, grantInterval, func() error {
 		r.eachPool(func(_ string, p *pool) { p.tick() })
 		if now := r.clock.Now(); !now.Before(nextPoll) {
-			nextPoll = now.Add(r.pollInterval)
+			nextPoll = now.Add(watchTick)
 			r.pollWorkers()
 		}
 		return nil
--- a/route/watch.go
+++ b/route/watch.go
@@ -12,7 +12,9 @@
 const (
 	// defaultPollInterval is the interval at which a worker is asked for the
 	// state of a task whose answer is awaited, unless SetLimits sets another.
-	defaultPollInterval = 5 * time.Second
+	defaultPollInterval = 4 * time.Second
+	// watchTick is how often it is checked which polls are due.
+	watchTick = 250 * time.Millisecond
 	// The dispatch is cancelled after maxEndedPolls polls to which the worker
 	// answered that the task is not running, or after maxUnansweredPolls polls
 	// that failed.
@@ -37,6 +39,10 @@
 	// waitingSince is when the wait for the worker's next bytes began; zero
 	// while the caller is not reading.
 	waitingSince time.Time
+	// nextPoll is when the next poll is due, counted from the begin of the wait or of
+	// the poll before, so that a silent worker is given up after maxUnansweredPolls
+	// intervals and one timeout.
+	nextPoll time.Time
 	// endedPolls and unansweredPolls count polls since the task was last seen
 	// running.
 	endedPolls, unansweredPolls int
@@ -45,7 +51,8 @@
 
 // watch registers a dispatch that is about to be sent.
 func (r *Router) watch(req *slotRequest, taskID string, cancel context.CancelCauseFunc) *answerWatch {
-	w := &answerWatch{router: r, addr: req.host.Addr, taskID: taskID, cancel: cancel, waitingSince: r.clock.Now()}
+	now := r.clock.Now()
+	w := &answerWatch{router: r, addr: req.host.Addr, taskID: taskID, cancel: cancel, waitingSince: now, nextPoll: now.Add(r.pollInterval)}
 	r.watchMu.Lock()
 	defer r.watchMu.Unlock()
 	r.watches[w] = struct{}{}
@@ -70,6 +77,7 @@
 	w.waitingSince = time.Time{}
 	if waiting {
 		w.waitingSince = w.router.clock.Now()
+		w.nextPoll = w.waitingSince.Add(w.router.pollInterval)
 	}
 }
 
@@ -80,10 +88,15 @@
 	if w.polling {
 		return false
 	}
-	if w.waitingSince.IsZero() || w.router.clock.Since(w.waitingSince) < w.router.pollInterval {
+	now := w.router.clock.Now()
+	if w.waitingSince.IsZero() || now.Sub(w.waitingSince) < w.router.pollInterval {
 		w.endedPolls, w.unansweredPolls = 0, 0
 		return false
 	}
+	if now.Before(w.nextPoll) {
+		return false
+	}
+	w.nextPoll = now.Add(w.router.pollInterval)
 	w.polling = true
 	return true
 }
--- a/route/watch_test.go
+++ b/route/watch_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 	"time"
+	"time"
 
 	"github.com/coder/quartz"
 	"github.com/stretchr/testify/require"
@@ -57,6 +58,8 @@
 				require.True(t, w.beginPoll())
 				w.poll()
 				round++
+				require.False(t, w.beginPoll(), "the next poll is due after the interval")
+				clock.Advance(defaultPollInterval)
 			}
 			require.Equal(t, c.cancelled, ctx.Err() != nil, "%v", context.Cause(ctx))
 			require.Equal(t, len(c.replies), round)
@@ -68,3 +71,26 @@
 		})
 	}
 }
+
+// TestSilentWorkerIsGivenUpInTime lets a worker fail all polls. The dispatch must be
+// cancelled after six intervals and the checks between them: callers wait that long.
+func TestSilentWorkerIsGivenUpInTime(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }))
+	defer srv.Close()
+	clock := quartz.NewMock(t)
+	client := endpt.New(4)
+	defer client.Close()
+	r := New(clock, client, func(Record) {})
+	ctx, cancel := context.WithCancelCause(context.Background())
+	w := r.watch(&slotRequest{host: HostView{Addr: strings.TrimPrefix(srv.URL, "http://")}}, "t", cancel)
+	defer w.stop()
+	begun := clock.Now()
+	for ctx.Err() == nil && clock.Since(begun) < time.Minute {
+		clock.Advance(watchTick)
+		if w.beginPoll() {
+			w.poll()
+		}
+	}
+	require.ErrorIs(t, context.Cause(ctx), errNoReply)
+	require.LessOrEqual(t, clock.Since(begun), maxUnansweredPolls*(defaultPollInterval+watchTick))
+}
