--- a/route/watch_test.go
+++ b/route/watch_test.go
@@ -7,7 +7,6 @@
 	"strings"
 	"testing"
 	"time"
-	"time"
 
 	"github.com/coder/quartz"
 	"github.com/stretchr/testify/require"
