front: interrupt reads of the body when its handler ends

Change: the body refuses reads once the handler has ended, and interrupts one that is under way and waits for it, before the server gets the connection back. TestReadIsInterruptedAtHandlerEnd failed before (10 s without an end).

--- a/front/duplex.go
+++ b/front/duplex.go
@@ -34,6 +34,7 @@
 		ReadCloser: http.MaxBytesReader(w, r.Body, int64(limits.MaxBodyBytes)), stallTimeout: limits.StallTimeout.Std(),
 		setReadDeadline: http.NewResponseController(w).SetReadDeadline, short: r.ContentLength >= 0 && r.ContentLength <= shortBodyBytes,
 	}
+	body.idle.L = &body.mu
 	body.atEOF.Store(r.ContentLength == 0)
 	if r.ContentLength != 0 {
 		body.extendDeadline() // also covers a body that only the server reads
@@ -100,43 +101,73 @@
 	short        bool
 	stallTimeout time.Duration // 0 means no limit
 
-	mu sync.Mutex
-	// setReadDeadline is that of the connection, nil once the handler has returned.
-	// From then on the server interrupts reads by the deadline: a later one, set by a
-	// read that is still under way in another goroutine, would leave the server and
-	// the caller waiting for each other.
+	// setReadDeadline sets the connection's read deadline.
 	setReadDeadline func(time.Time) error
+
+	mu sync.Mutex
+	// detached is set once the handler has ended, reading while a read is under way;
+	// idle is signalled when it ends.
+	detached, reading bool
+	idle              sync.Cond
 }
 
 // extendDeadline gives the next bytes stallTimeout to arrive.
-func (b *trackedBody) extendDeadline() { b.setDeadline(time.Now().Add(b.stallTimeout)) }
+func (b *trackedBody) extendDeadline() {
+	if b.stallTimeout > 0 {
+		_ = b.setReadDeadline(time.Now().Add(b.stallTimeout)) // the error is ignored: only real connections have deadlines
+	}
+}
 
-// setDeadline sets the connection's read deadline, unless there is no limit or the
-// handler has returned.
-func (b *trackedBody) setDeadline(t time.Time) {
+// detach ends reads of the body when the handler has ended: it interrupts a read that
+// is under way in another goroutine, such as that of the client of the workers, and
+// waits for its end. Otherwise the read might come to the body's end just when the
+// server ends the request, and server and caller would wait for each other.
+func (b *trackedBody) detach() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.stallTimeout > 0 && b.setReadDeadline != nil {
-		_ = b.setReadDeadline(t) // the error is ignored: only real connections have deadlines
+	b.detached = true
+	if !b.reading || b.setReadDeadline(time.Unix(1, 0)) != nil {
+		return
+	}
+	for b.reading {
+		b.idle.Wait()
 	}
+	// The deadline stays, so that the server doesn't wait for the rest of the body. It
+	// sets another one before it reads the next request.
 }
 
-// detach leaves the connection's read deadline to the server.
-func (b *trackedBody) detach() {
+// beginRead reports whether a read may begin, and gives it its deadline.
+func (b *trackedBody) beginRead() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.setReadDeadline = nil
+	if b.detached {
+		return false
+	}
+	b.reading = true
+	if !b.atEOF.Load() {
+		b.extendDeadline()
+	}
+	return true
+}
+
+// endRead notes the end of a read.
+func (b *trackedBody) endRead(err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reading = false
+	b.idle.Broadcast()
+	if errors.Is(err, io.EOF) && !b.atEOF.Swap(true) && b.stallTimeout > 0 && !b.detached {
+		_ = b.setReadDeadline(time.Time{}) // the server keeps reading to detect that the caller disconnects
+	}
 }
 
 // Read reads the body.
 func (b *trackedBody) Read(p []byte) (int, error) {
-	if !b.atEOF.Load() {
-		b.extendDeadline()
+	if !b.beginRead() {
+		return 0, http.ErrBodyReadAfterClose
 	}
 	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) && !b.atEOF.Swap(true) {
-		b.setDeadline(time.Time{}) // the server keeps reading to detect that the caller disconnects
-	}
+	b.endRead(err)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		err = fmt.Errorf("%w: nothing for %v", errStalled, b.stallTimeout)
 	}
--- a/front/server_test.go
+++ b/front/server_test.go
@@ -8,12 +8,14 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"shallotpaddle/conf"
@@ -52,6 +54,43 @@
 	}
 }
 
+// TestReadIsInterruptedAtHandlerEnd ends a handler, with an answer or an abort, while
+// another goroutine reads the body of a caller that sends no more. The caller must get
+// the answer, or the end of the connection, at once.
+func TestReadIsInterruptedAtHandlerEnd(t *testing.T) {
+	for _, abort := range []bool{false, true} {
+		read := make(chan error, 1)
+		s := httptest.NewServer(limitBody(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, err := io.ReadFull(r.Body, make([]byte, len("begin")))
+			assert.NoError(t, err)
+			go func() {
+				_, err := io.Copy(io.Discard, r.Body)
+				read <- err
+			}()
+			body := r.Body.(*trackedBody)
+			assert.Eventually(t, func() bool {
+				body.mu.Lock()
+				defer body.mu.Unlock()
+				return body.reading
+			}, time.Minute, time.Millisecond)
+			w.WriteHeader(http.StatusOK)
+			if abort {
+				panic(http.ErrAbortHandler)
+			}
+		}), conf.Listener{MaxBodyBytes: 4 << 20, StallTimeout: table.Duration(time.Minute)}))
+		c, err := net.Dial("tcp", s.Listener.Addr().String())
+		require.NoError(t, err)
+		_, err = fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\nbegin")
+		require.NoError(t, err)
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(10*time.Second)))
+		_, err = io.ReadAll(c)
+		require.NotErrorIs(t, err, os.ErrDeadlineExceeded, "abort %v", abort)
+		require.Error(t, <-read, "abort %v", abort)
+		require.NoError(t, c.Close())
+		s.Close()
+	}
+}
+
 // TestUnreadBody sends requests whose bodies the handler leaves unread, and a
 // second request on the same connection. No byte of a body may be parsed as a
 // request, and a connection whose response lacks Connection: close must serve the
