fleet: list all workers that orders have ended for six seconds

Change: the plan lists an ended worker for 6 s, longer than its registration lasts, and 2,000 at most. TestPlanListsAllEndedWorkers fails with 100.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -92,6 +92,8 @@
 	orderedBefore map[string]bool
 	// recentUntil has the end of the QuietPeriod of the hosts in Plan.Recent.
 	recentUntil map[string]time.Time
+	// endedAt has the times from which Plan.EndedWorkers are listed by this controller.
+	endedAt map[string]time.Time
 	// leadershipSeen is the time since boot at which the last successful write on
 	// condition of the leadership was sent.
 	leadershipSeen time.Duration
@@ -112,7 +114,7 @@
 	return &Controller{
 		Params: p, digests: map[string]owner.Digest{}, acceptedAt: map[int64]time.Time{},
 		reportedWaves: map[string]bool{}, surplusHistory: map[string]*shift.SurplusHistory{}, refusedHosts: map[string]map[string]bool{},
-		mostHosts: map[string]int{}, orderedBefore: map[string]bool{}, recentUntil: map[string]time.Time{},
+		mostHosts: map[string]int{}, orderedBefore: map[string]bool{}, recentUntil: map[string]time.Time{}, endedAt: map[string]time.Time{},
 	}
 }
 
@@ -191,6 +193,9 @@
 			c.orderedBefore[t.Host] = true
 		}
 	}
+	for _, worker := range c.plan.EndedWorkers {
+		c.endedAt[worker] = c.startedAt
+	}
 	for _, host := range c.plan.Recent {
 		c.orderedBefore[host] = true
 		c.recentUntil[host] = c.startedAt.Add(c.QuietPeriod)
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -365,6 +365,37 @@
 	})
 }
 
+// TestPlanListsAllEndedWorkers moves 150 hosts to standby within a second: their
+// owner must learn of each that its worker has ended, and not take it for silent.
+func TestPlanListsAllEndedWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(t)
+		f.addHosts(150)
+		workers := map[string]bool{}
+		for _, h := range f.hosts {
+			workers[h.Worker] = h.Worker != ""
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer time.Sleep(5 * time.Second) // lets calls under way end
+		defer cancel()
+		go f.runOwner(ctx, 0)
+		f.startController(ctx, "e-1", 0, nil)
+		time.Sleep(5 * time.Second)
+		require.Len(t, f.received, 150)
+		for _, id := range f.readPlan().EndedWorkers {
+			require.True(t, workers[id], id)
+			delete(workers, id)
+		}
+		left := 0
+		for _, waits := range workers {
+			if waits {
+				left++
+			}
+		}
+		require.Equal(t, 4, left, "one host and three more stay")
+	})
+}
+
 // TestDeposedControllerSendsNoOrders elects another fleet controller while one
 // runs.
 func TestDeposedControllerSendsNoOrders(t *testing.T) {
--- a/fleet/order.go
+++ b/fleet/order.go
@@ -101,16 +101,30 @@
 	return nil
 }
 
-// maxEndedWorkers is the number of ended workers that the plan lists: the latest
-// suffice, as registrations of workers that have left are removed within seconds.
-const maxEndedWorkers = 100
+const (
+	// endedWorkerTime is how long the plan lists a worker that an order has ended:
+	// longer than it takes for its registration to be removed.
+	endedWorkerTime = 6 * time.Second
+	// maxEndedWorkers bounds the number of workers that the plan lists as ended.
+	maxEndedWorkers = 2000
+)
 
-// addEndedWorker adds a worker that an order has ended to the plan.
+// addEndedWorker adds a worker that an order has ended to the plan, and removes those
+// that have been listed for endedWorkerTime.
 func (c *Controller) addEndedWorker(worker string) {
 	if worker == "" {
 		return
 	}
+	now := c.Clock.Now()
+	c.endedAt[worker] = now
 	c.plan.EndedWorkers = append(c.plan.EndedWorkers, worker)
+	c.plan.EndedWorkers = slices.DeleteFunc(c.plan.EndedWorkers, func(id string) bool {
+		old := now.Sub(c.endedAt[id]) >= endedWorkerTime
+		if old {
+			delete(c.endedAt, id)
+		}
+		return old
+	})
 	if n := len(c.plan.EndedWorkers); n > maxEndedWorkers {
 		c.plan.EndedWorkers = slices.Clone(c.plan.EndedWorkers[n-maxEndedWorkers:])
 	}
