--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -87,6 +87,16 @@
 	}
 }
 
+// withFleet runs a test on a fleet in virtual time.
+func withFleet(t *testing.T, test func(ctx context.Context, f *fakeFleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer time.Sleep(5 * time.Second) // lets calls under way end
+		defer cancel()
+		test(ctx, newFakeFleet(t))
+	})
+}
+
 func (f *fakeFleet) nextWorker() string {
 	f.workersStarted++
 	return fmt.Sprintf("i-%d", f.workersStarted)
@@ -304,13 +314,9 @@
 // TestStandbyBeforeJobs starts the whole system: a third of the pool's hosts, and those
 // that each pool keeps, stay until it has had jobs for a while, and go to standby then.
 func TestStandbyBeforeJobs(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFakeFleet(t)
+	withFleet(t, func(ctx context.Context, f *fakeFleet) {
 		f.noJobs = true
 		f.addHosts(14)
-		ctx, cancel := context.WithCancel(context.Background())
-		defer time.Sleep(5 * time.Second) // lets calls under way end
-		defer cancel()
 		owned, stopOwner := context.WithCancel(ctx)
 		ended := make(chan struct{})
 		go func() { f.runOwner(owned, 0); close(ended) }()
@@ -329,13 +335,9 @@
 // TestMovesWithdrawn plans moves of hosts that are still busy. A host on which
 // long-running work has started stays, and so do all when their pool needs them again.
 func TestMovesWithdrawn(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFakeFleet(t)
+	withFleet(t, func(ctx context.Context, f *fakeFleet) {
 		f.addHosts(4)
 		f.busy, f.longRunning = true, map[string]bool{}
-		ctx, cancel := context.WithCancel(context.Background())
-		defer time.Sleep(5 * time.Second) // lets calls under way end
-		defer cancel()
 		owned, stopOwner := context.WithCancel(ctx)
 		ended := make(chan struct{})
 		go func() { f.runOwner(owned, 0); close(ended) }()
@@ -368,16 +370,12 @@
 // TestPlanListsAllEndedWorkers moves 150 hosts to standby within a second: their
 // owner must learn of each that its worker has ended, and not take it for silent.
 func TestPlanListsAllEndedWorkers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFakeFleet(t)
+	withFleet(t, func(ctx context.Context, f *fakeFleet) {
 		f.addHosts(150)
 		workers := map[string]bool{}
 		for _, h := range f.hosts {
 			workers[h.Worker] = h.Worker != ""
 		}
-		ctx, cancel := context.WithCancel(context.Background())
-		defer time.Sleep(5 * time.Second) // lets calls under way end
-		defer cancel()
 		go f.runOwner(ctx, 0)
 		f.startController(ctx, "e-1", 0, nil)
 		time.Sleep(5 * time.Second)
@@ -421,12 +419,8 @@
 // ended: the hosts must not get an order of the next one within the quiet period.
 func TestQuietPeriodCoversEndedTasks(t *testing.T) {
 	const quiet = 8 * time.Second // longer than a move takes
-	synctest.Test(t, func(t *testing.T) {
-		f := newFakeFleet(t)
+	withFleet(t, func(ctx context.Context, f *fakeFleet) {
 		f.maxDown = 6
-		ctx, cancel := context.WithCancel(context.Background())
-		defer time.Sleep(5 * time.Second) // lets calls under way end
-		defer cancel()
 		go f.runOwner(ctx, 9*cpu)
 		stop := f.startController(ctx, "e-1", quiet, nil)
 		time.Sleep(down + 900*time.Millisecond)
@@ -450,12 +444,8 @@
 // write of its plan and the orders. Another controller may have been elected
 // meanwhile.
 func TestSuspendedControllerSendsNoOrders(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFakeFleet(t)
+	withFleet(t, func(ctx context.Context, f *fakeFleet) {
 		f.maxDown = 1
-		ctx, cancel := context.WithCancel(context.Background())
-		defer time.Sleep(5 * time.Second) // lets calls under way end
-		defer cancel()
 		go f.runOwner(ctx, 9*cpu)
 		f.commit = func(ctx context.Context, t plat.Txn) (int64, []plat.Item, error) {
 			rev, items, err := f.kv.Commit(ctx, t)
