--- a/owner/owner.go
+++ b/owner/owner.go
@@ -352,8 +352,9 @@
 			items, next, err = o.Store.List(ctx, prefix)
 			o.Log.Info().Str("pool", o.Pool).Int64("rev", rev).Err(err).Msg("watch history was compacted; listing all jobs")
 		case len(items) == 0 && wait < maxWatchWait:
+			watchErr := err
 			items, next, err = o.Store.List(ctx, prefix)
-			o.Log.Info().Str("pool", o.Pool).Int64("rev", rev).Dur("silent", wait).Err(err).Msg("watch is silent; listing all jobs")
+			o.Log.Info().Str("pool", o.Pool).Int64("rev", rev).Dur("silent", wait).AnErr("cause", watchErr).Err(err).Msg("watch is silent; listing all jobs")
 		}
 		if err != nil {
 			o.Stats.WatchesFailed.Inc(1)
