owner, fakes: reproduce two runs of one subtask at once

An order that the stand-in carries out late reaches whatever incarnation is there by then, as the platform's page says; before, it was dropped. The log of a start says which incarnation it is meant for, whether the job was taken as newer than the election, and how many workers have not answered this owner.

--- a/fakes/workerset.go
+++ b/fakes/workerset.go
@@ -24,6 +24,9 @@
 	// InjectFault returns the fault of a call to a worker, or to the advisor under the
 	// name "advisor"; nil stands for NoFault.
 	InjectFault func(worker string, op string) CallFault
+	// LateOrderDelay returns how long after it was sent an order with the fault DelayCall
+	// is carried out; nil stands for 3 seconds.
+	LateOrderDelay func() time.Duration
 	// OnAckedEnd is called, unless nil, for each end that is acknowledged to a worker.
 	// It returns the text of a violation, or "".
 	OnAckedEnd func(e runs.End) string
@@ -88,12 +91,13 @@
 
 // Times of workers.
 const (
-	workerLatency  = time.Millisecond       // of an answered call
-	workerTimeout  = 700 * time.Millisecond // of a call without an answer
-	lateOrderDelay = 3 * time.Second        // of an order with the fault DelayCall
-	startupTime    = 300 * time.Millisecond // until a long-running subtask is in service
-	stopTime       = 100 * time.Millisecond // from the order to stop a run to its end
-	gangWait       = 3 * time.Second        // that a gang's member waits for the others
+	workerLatency = time.Millisecond       // of an answered call
+	workerTimeout = 700 * time.Millisecond // of a call without an answer
+	startupTime   = 300 * time.Millisecond // until a long-running subtask is in service
+	stopTime      = 100 * time.Millisecond // from the order to stop a run to its end
+	gangWait      = 3 * time.Second        // that a gang's member waits for the others
+
+	defaultOrderDelay = 3 * time.Second // of an order with the fault DelayCall
 )
 
 // NewWorkerSet returns a set without workers; maxLease is the longest lease that they
@@ -205,9 +209,9 @@
 		deliver()
 		return errAfter(ctx, workerTimeout, plat.ErrUnknown)
 	case fault == DelayCall:
-		// The sender may have ended by then. A worker that has been replaced by a new
-		// incarnation does not carry out the order.
-		time.AfterFunc(lateOrderDelay, func() { ws.ifSameIncarnation(w, deliver) })
+		// The sender may have ended by then, and another incarnation with the same ID may
+		// carry out the order.
+		time.AfterFunc(ws.lateOrderDelay(), deliver)
 		return errAfter(ctx, workerTimeout, plat.ErrUnknown)
 	}
 	// An order that has been sent arrives even if its sender's context ends.
@@ -219,14 +223,13 @@
 	return result
 }
 
-// ifSameIncarnation calls deliver if no new incarnation has replaced the worker.
-func (ws *WorkerSet) ifSameIncarnation(w *workerState, deliver func()) {
-	ws.mu.Lock()
-	same := ws.workers[w.ID] == w
-	ws.mu.Unlock()
-	if same {
-		deliver()
+// lateOrderDelay returns the time after which an order with the fault DelayCall is
+// carried out.
+func (ws *WorkerSet) lateOrderDelay() time.Duration {
+	if ws.LateOrderDelay == nil {
+		return defaultOrderDelay
 	}
+	return ws.LateOrderDelay()
 }
 
 // clockSlowdown is the fraction by which the workers' clocks run slow.
--- a/owner/act.go
+++ b/owner/act.go
@@ -258,7 +258,8 @@
 		o.Stats.Wait.Update((now.UnixMilli() - j.progress.Job.Accepted) * 1000)
 	}
 	o.Log.Info().Str("job", j.id()).Str("task", t.ID.String()).Int("run", run).Str("host", h.id).
-		Int("freeCpu", h.worker.Capacity.CPU-h.used.CPU).Int64("ageMs", now.UnixMilli()-j.progress.Job.Accepted).Msg("starting run")
+		Int64("born", h.startedMs).Int("freeCpu", h.worker.Capacity.CPU-h.used.CPU).Int64("ageMs", now.UnixMilli()-j.progress.Job.Accepted).
+		Bool("fresh", j.acceptedInTerm).Int("unread", o.unreadWorkers()).Msg("starting run")
 	o.sendStart(h, p)
 }
 
--- a/owner/host.go
+++ b/owner/host.go
@@ -405,6 +405,21 @@
 	return true
 }
 
+// unreadWorkers returns the number of workers that have not answered this owner, on which
+// runs of an earlier one may be at work.
+func (o *Owner) unreadWorkers() int {
+	n := 0
+	if o.takeoverDone {
+		return n
+	}
+	for _, h := range o.hosts {
+		if !h.answered {
+			n++
+		}
+	}
+	return n
+}
+
 // voidEarlierRuns voids the runs that earlier owners may have started of a subtask, if
 // their ends may be unread on a worker that has not answered: the next owner may read
 // them there, after the subtask has started again. It reports whether the subtask may
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -317,7 +317,8 @@
 		o.Log.Info().Str("task", v.Task.String()).Int("run", v.Run).Str("host", h.id).Msg("adopted a run of an earlier owner")
 		return
 	}
-	o.Log.Warn().Str("task", v.Task.String()).Int("run", v.Run).Str("host", h.id).Int("current", t.Run).Msg("worker reports a run that is not current; stopping it")
+	o.Log.Warn().Str("task", v.Task.String()).Int("run", v.Run).Str("host", h.id).Int64("born", h.startedMs).Int("current", t.Run).
+		Str("currentHost", t.WorkerID).Msg("worker reports a run that is not current; stopping it")
 	o.stopRun(h, p, "stray run")
 }
 
--- a/owner/pool_test.go
+++ b/owner/pool_test.go
@@ -63,6 +63,56 @@
 	stopOwner context.CancelFunc
 	// cut makes all calls to the store fail.
 	cut bool
+	// deaf makes the entry hear nothing of elections.
+	deaf bool
+	// cutFrom has the workers that the entry can't reach.
+	cutFrom map[string]bool
+}
+
+// hears waits until the entry hears of elections.
+func (pool *testPool) hears(ctx context.Context, e *entry) {
+	for ctx.Err() == nil {
+		pool.mu.Lock()
+		deaf := e.deaf
+		pool.mu.Unlock()
+		if !deaf {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// orders returns the calls to workers that an entry makes.
+func (pool *testPool) orders(e *entry) owner.Workers {
+	reach := func(ctx context.Context, to runs.Target) error {
+		pool.mu.Lock()
+		defer pool.mu.Unlock()
+		if e.cutFrom[to.ID] {
+			return plat.ErrUnknown
+		}
+		return ctx.Err()
+	}
+	return owner.Workers{
+		Start: func(ctx context.Context, to runs.Target, s runs.Start) (runs.Reply, error) {
+			if err := reach(ctx, to); err != nil {
+				return runs.Reply{}, err
+			}
+			return pool.start(ctx, to, s)
+		},
+		Stop: func(ctx context.Context, to runs.Target, s runs.Stop) (runs.Reply, error) {
+			if err := reach(ctx, to); err != nil {
+				return runs.Reply{}, err
+			}
+			return pool.workers.Stop(ctx, to, s)
+		},
+		Renew: func(ctx context.Context, to runs.Target, n runs.Renew) (runs.Report, error) {
+			if err := reach(ctx, to); err != nil {
+				return runs.Report{}, err
+			}
+			return pool.workers.Renew(ctx, to, n)
+		},
+		Pace: pool.workers.Pace,
+	}
 }
 
 func newTestPool(t *testing.T, seed uint64) *testPool {
@@ -133,6 +183,9 @@
 				return nil, 0, err
 			}
 			items, rev, err := pool.kv.Watch(ctx, p, after, wait)
+			if p != owner.JobPrefix(poolName) {
+				pool.hears(ctx, e)
+			}
 			if cut := cutOr(nil); cut != nil {
 				return nil, 0, cut
 			}
@@ -151,6 +204,7 @@
 				pause(ctx)
 				return err
 			}
+			pool.hears(ctx, e)
 			return pool.kv.Renew(ctx, id)
 		},
 		Revoke: pool.kv.Revoke,
@@ -174,7 +228,7 @@
 		Pool: poolName, ElectionKey: elect.Key(poolName), Fence: t.Fence, Term: t.Number,
 		Bounds:     owner.Bounds{MaxLease: holdMax, StopTime: 200 * time.Millisecond, Drain: 2 * time.Second, StatusRetention: time.Hour},
 		Store:      owner.Store{List: store.List, Watch: store.Watch, Commit: store.Commit},
-		Workers:    owner.Workers{Start: pool.start, Stop: pool.workers.Stop, Renew: pool.workers.Renew, Pace: pool.workers.Pace},
+		Workers:    pool.orders(e),
 		AskAdvisor: pool.workers.Ask,
 		ReadPlan: func(context.Context) (owner.PoolPlan, error) {
 			pool.mu.Lock()
