owner: hold back what a restarted worker may still start

Callers saw TWICE: two runs of one subtask at the same time. A start gets no answer and is carried out 2 to 12 s later. A worker that restarts under its ID has a clock that starts anew, and has seen neither a token nor the runs that were ended or stopped there, so that it accepts the start. The owner held a subtask back only if none of its tries was answered; a long-running one only for 5.5 s, for the sake of the 7 s that users allow; and it made the new incarnation refuse the start only once that was registered. The class: an order whose outcome isn't known is taken as done, or as not done.

Now any unanswered start of a subtask whose worker is lost holds it back for the full 12 s from the order. The stop that blocks the start is sent from the loss on, so that it is the first that the next incarnation hears; an answer of it, or of another worker at the address, ends the hold. Workers with open starts are polled even if they are idle, and starts that were blocked at one incarnation are blocked at the next one as well.

TestHeldBackFromTheOrder asserted that a long-running subtask starts within 7 s of the order, which allows two runs: it is replaced by the exact time for both kinds and by TestHoldEndsWhenStartIsBlocked, which keeps the 7 s wherever the worker or another one at its address is back by then. Never twice goes first.

--- a/owner/host.go
+++ b/owner/host.go
@@ -45,13 +45,16 @@
 	// 0 if there is none, and withheld the number of ends from it on.
 	firstWithheld int64
 	withheld      int
-	polling       bool
-	nextPoll      time.Time
-	failingSince  time.Time // since when polls have failed; zero if they succeed
-	leavingSince  time.Time // when the worker was first listed as draining
-	noRoomUntil   time.Time // no starts before this time, because one was refused
-	health        pack.Health
-	unhealthy     bool // as of the last scheduling pass
+	// awaitsStarts is true while starts without an answer may still be carried out: the
+	// worker is polled, so that a restart is noticed before they are.
+	awaitsStarts bool
+	polling      bool
+	nextPoll     time.Time
+	failingSince time.Time // since when polls have failed; zero if they succeed
+	leavingSince time.Time // when the worker was first listed as draining
+	noRoomUntil  time.Time // no starts before this time, because one was refused
+	health       pack.Health
+	unhealthy    bool // as of the last scheduling pass
 	// fillShare is the share, in percent, at which filling (best-effort) subtasks may
 	// run.
 	fillShare int
@@ -253,7 +256,6 @@
 		h = newHost(w)
 		h.releaseTask = o.fleetPlan.Release[w.ID]
 		o.hosts[w.ID] = h
-		o.blockUnansweredStarts(h)
 		o.markChanged(o.roster)
 		h.rosterVersion = o.roster.version
 		o.Log.Info().Str("pool", o.Pool).Str("host", w.ID).Str("address", w.Address).Int64("born", w.StartedMs).
@@ -288,14 +290,13 @@
 	for _, p := range h.runs {
 		o.recordLostRun(h, p, neighbours)
 		o.freeRoom(h, p)
-		if p.confirmedAt.IsZero() {
-			o.holdBack(h, p)
-		}
+		o.holdBack(h, p)
 		if p.task.WorkerID == h.id && p.task.Run == p.run && p.task.Phase != steps.Finished {
 			p.task.Phase, p.task.WorkerID = steps.Waiting, ""
 			o.voidRun(p)
 		}
 	}
+	o.blockUnansweredStarts(h)
 	delete(o.hosts, h.id)
 	o.markChanged(o.roster)
 	o.passNeeded = true
@@ -381,6 +382,7 @@
 			continue
 		}
 		o.freeRoom(h, p)
+		o.holdBack(h, p)
 		if p.task.WorkerID == h.id && p.task.Run == p.run {
 			p.task.Phase, p.task.WorkerID = steps.Waiting, ""
 			o.passNeeded = true
--- a/owner/model_test.go
+++ b/owner/model_test.go
@@ -107,7 +107,11 @@
 		for i := range 3 {
 			pool.startEntry(ctx, fmt.Sprintf("n%d", i))
 		}
-		names := sortedKeys(failures)
+		table := failures
+		if pool.failures != nil {
+			table = pool.failures
+		}
+		names := sortedKeys(table)
 		for time.Since(begun) < failurePeriod {
 			time.Sleep(time.Duration(r.IntN(400)) * time.Millisecond)
 			switch n := r.IntN(20); {
@@ -116,7 +120,7 @@
 			case n < 14 && len(pool.jobs) > 0:
 				pool.cancel(pool.jobs[r.IntN(len(pool.jobs))].ID)
 			case n == 14:
-				failures[names[r.IntN(len(names))]](ctx, pool)
+				table[names[r.IntN(len(names))]](ctx, pool)
 			}
 		}
 		time.Sleep(90 * time.Second)
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -125,7 +125,7 @@
 	digestDue               bool                     // a release has changed or a worker is empty: publish at once
 	// unanswered has the starts without an answer that may still be carried out, by
 	// worker ID.
-	unanswered        map[string][]unansweredStart
+	unanswered        map[string][]*unansweredStart
 	questionsInFlight int // to the advisor
 	callsInFlight     int // starts and stops
 	// trialsWait tells that in the last scheduling pass a subtask that may have crashed a
@@ -148,7 +148,7 @@
 func New(p Params) *Owner {
 	o := &Owner{
 		Params: p, inbox: make(chan any, inboxSize), done: make(chan struct{}), hosts: map[string]*host{}, jobs: map[string]*job{},
-		cancelRequests: map[string]struct{}{}, forecasts: map[string]*pack.Forecast{}, inflows: map[string]*shift.Inflow{}, unanswered: map[string][]unansweredStart{}, trialHosts: map[*steps.Task]*host{},
+		cancelRequests: map[string]struct{}{}, forecasts: map[string]*pack.Forecast{}, inflows: map[string]*shift.Inflow{}, unanswered: map[string][]*unansweredStart{}, trialHosts: map[*steps.Task]*host{},
 	}
 	o.roster = &doc{key: rosterKey(p.Pool), encode: o.encodeRoster}
 	o.digest = &doc{key: DigestKey(p.Pool), encode: o.encodeDigest}
@@ -302,6 +302,7 @@
 			o.scheduleStarts(now)
 		}
 	}
+	o.forgetUnanswered(now)
 	o.retryOrders(now)
 	o.pollHosts(now)
 	o.updateDigest(now)
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -33,12 +33,13 @@
 	if h.polling || now.Before(h.nextPoll) {
 		return false
 	}
-	return !h.answered || len(h.runs) > 0 || h.ackable > h.acked || len(h.unacked) > 0 || !h.failingSince.IsZero() || now.Sub(h.clockAt) > maxClockAge
+	return !h.answered || h.awaitsStarts || len(h.runs) > 0 || h.ackable > h.acked || len(h.unacked) > 0 || !h.failingSince.IsZero() || now.Sub(h.clockAt) > maxClockAge
 }
 
 // pollHosts polls the workers that are due.
 func (o *Owner) pollHosts(now time.Time) {
 	for _, h := range o.hosts {
+		h.awaitsStarts = len(o.unanswered[h.id]) > 0
 		if h.pollDue(now) {
 			o.poll(h, now)
 		}
@@ -61,7 +62,7 @@
 		n.UntilMs = h.workerClock(now) + o.leaseLength().Milliseconds()
 		h.leaseUntil = max(h.leaseUntil, n.UntilMs)
 	}
-	if h.failingSince.IsZero() && h.answered && len(h.runs) > 0 && len(h.unacked) == 0 {
+	if h.failingSince.IsZero() && h.answered && (len(h.runs) > 0 || h.awaitsStarts) && len(h.unacked) == 0 {
 		wait := pollWait
 		switch trial := o.trialWait(h); {
 		case trial > 0:
--- a/owner/pool_test.go
+++ b/owner/pool_test.go
@@ -50,6 +50,8 @@
 	jobs        []*steps.Job
 	cancels     map[string]bool
 	activeAtEnd map[string]int // number of active runs at the end, by job
+	// failures are the failures that run injects, instead of the usual ones.
+	failures map[string]func(ctx context.Context, pool *testPool)
 	// advised makes submitted jobs need tickets of the advisor.
 	advised bool
 }
--- a/owner/unanswered.go
+++ b/owner/unanswered.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"errors"
 	"slices"
 	"time"
 
@@ -13,85 +14,122 @@
 // sent.
 const maxOrderDelay = 12 * time.Second
 
-// longRunningHold is how long a long-running subtask is held back for such a start.
-// Users want it back within 7 seconds, of which its worker's lease takes 4.
-const longRunningHold = 5500 * time.Millisecond
-
 // unansweredStart is a start without an answer. The worker, or a later incarnation
 // with the same ID, may still carry it out.
 type unansweredStart struct {
 	task *steps.Task
 	run  int
-	sent time.Time
+	sent time.Time // of the last try without an answer
+	to   runs.Target
+	// blocking tells that a call to block the start is under way, and blocked that the
+	// worker that answers at the address refuses it.
+	blocking, blocked bool
 }
 
+// mayArriveUntil is when the start can't be carried out any more.
+func (u *unansweredStart) mayArriveUntil() time.Time { return u.sent.Add(maxOrderDelay) }
+
 // blockResult is the result of the stop that makes a worker refuse an unanswered
 // start.
 type blockResult struct {
-	start unansweredStart
-	host  *host
+	start *unansweredStart
 	err   error
 }
 
-// recordUnanswered records a start without an answer, and drops those too old to be
-// carried out.
+// recordUnanswered records a start without an answer.
 func (o *Owner) recordUnanswered(h *host, p *placement) {
-	now := o.Clock.Now()
-	kept := slices.DeleteFunc(o.unanswered[h.id], func(u unansweredStart) bool {
-		return now.Sub(u.sent) > maxOrderDelay || u.task == p.task && u.run == p.run
-	})
-	o.unanswered[h.id] = append(kept, unansweredStart{p.task, p.run, p.startSentAt})
+	for _, u := range o.unanswered[h.id] {
+		if u.task == p.task && u.run == p.run {
+			u.sent, u.blocked = p.startSentAt, false
+			return
+		}
+	}
+	o.unanswered[h.id] = append(o.unanswered[h.id], &unansweredStart{task: p.task, run: p.run, sent: p.startSentAt, to: h.target()})
+}
+
+// forgetUnanswered drops the starts that can't be carried out any more.
+func (o *Owner) forgetUnanswered(now time.Time) {
+	for id, list := range o.unanswered {
+		list = slices.DeleteFunc(list, func(u *unansweredStart) bool { return now.After(u.mayArriveUntil()) })
+		o.unanswered[id] = list
+		if len(list) == 0 {
+			delete(o.unanswered, id)
+		}
+	}
 }
 
-// holdBack delays the next start of a subtask whose last start may still be carried
-// out.
+// holdBack delays the next start of a subtask whose worker is gone, if a start there may
+// still be carried out: the worker's next incarnation knows nothing of what this one has
+// run or refused.
 func (o *Owner) holdBack(h *host, p *placement) {
-	o.recordUnanswered(h, p)
-	hold := maxOrderDelay
-	if p.task.Step.LongRunning {
-		hold = longRunningHold
+	if p.confirmedAt.IsZero() {
+		o.recordUnanswered(h, p)
+	}
+	for _, u := range o.unanswered[h.id] {
+		if u.task != p.task || !u.mayArriveUntil().After(o.Clock.Now()) {
+			continue
+		}
+		if u.mayArriveUntil().After(p.task.HeldUntil) {
+			p.task.HeldUntil = u.mayArriveUntil()
+		}
+		o.Log.Info().Str("task", p.task.ID.String()).Int("run", u.run).Str("host", h.id).Dur("age", o.Clock.Since(u.sent)).
+			Msg("subtask held back: its last start may still be carried out")
 	}
-	p.task.HeldUntil = p.startSentAt.Add(hold)
-	o.Log.Info().Str("task", p.task.ID.String()).Int("run", p.run).Str("host", h.id).Msg("subtask held back: its last start may still be carried out")
 }
 
-// blockUnansweredStarts makes a new incarnation of a worker refuse the starts meant
-// for earlier ones.
+// blockUnansweredStarts makes whatever answers at the address of a worker that is gone
+// refuse the starts that this one has not answered.
 func (o *Owner) blockUnansweredStarts(h *host) {
-	now := o.Clock.Now()
 	for _, u := range o.unanswered[h.id] {
-		if now.Sub(u.sent) <= maxOrderDelay {
-			o.blockStart(h, u)
+		u.blocked = false
+		if !u.blocking && u.mayArriveUntil().After(o.Clock.Now()) {
+			o.blockStart(u)
 		}
 	}
-	delete(o.unanswered, h.id)
 }
 
 // blockStart stops the run of an unanswered start, after which the worker refuses
 // to start it.
-func (o *Owner) blockStart(h *host, u unansweredStart) {
-	to, s := h.target(), runs.Stop{Task: u.task.ID, Run: u.run, Fence: o.Fence}
+func (o *Owner) blockStart(u *unansweredStart) {
+	u.blocking = true
+	to, s := u.to, runs.Stop{Task: u.task.ID, Run: u.run, Fence: o.Fence}
 	go func() {
 		_, err := o.Workers.Stop(o.ctx, to, s)
 		if err != nil {
 			o.sleep(o.ctx, orderRetryDelay)
 		}
-		o.post(blockResult{u, h, err})
+		o.post(blockResult{u, err})
 	}()
 }
 
-// handleBlocked lets a subtask start again if its last start can't be carried out
+// handleBlocked lets a subtask start again if its unanswered start can't be carried out
 // any more, else retries the stop.
 func (o *Owner) handleBlocked(m blockResult) {
-	t := m.start.task
-	if m.err == nil {
-		if t.Run == m.start.run {
-			t.HeldUntil = time.Time{}
-			o.passNeeded = true
-		}
-		return
+	u, now := m.start, o.Clock.Now()
+	u.blocking = false
+	switch {
+	case m.err == nil, errors.Is(m.err, runs.ErrStaleRun):
+		o.endHold(u, "the worker refuses it")
+	case errors.Is(m.err, runs.ErrIncarnation):
+		o.endHold(u, "another worker answers at the address")
+	case errors.Is(m.err, runs.ErrFence):
+		o.depose("a worker has heard a higher token")
+	case u.mayArriveUntil().After(now):
+		o.blockStart(u)
 	}
-	if o.hosts[m.host.id] == m.host && o.Clock.Now().Sub(m.start.sent) <= maxOrderDelay {
-		o.blockStart(m.host, m.start)
+}
+
+// endHold lets the subtask of a blocked start begin again, unless another start may still
+// be carried out.
+func (o *Owner) endHold(u *unansweredStart, why string) {
+	u.blocked = true
+	o.Log.Info().Str("task", u.task.ID.String()).Int("run", u.run).Str("host", u.to.ID).Dur("age", o.Clock.Since(u.sent)).
+		Str("cause", why).Msg("unanswered start can't be carried out any more")
+	for _, other := range o.unanswered[u.to.ID] {
+		if other.task == u.task && !other.blocked {
+			return
+		}
 	}
+	u.task.HeldUntil = time.Time{}
+	o.passNeeded = true
 }
--- a/owner/unanswered_test.go
+++ b/owner/unanswered_test.go
@@ -1,28 +1,96 @@
 package owner
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"shallotpaddle/plat"
+	"shallotpaddle/runs"
 	"shallotpaddle/steps"
 )
 
-// LOST: a worker stops answering before it has confirmed a start. A long-running
-// subtask may start again within the 7 seconds that users allow, any other one when
-// the first start can't be carried out any more, counted from when it was sent.
+// TWICE: a worker is lost after a start without an answer. Its subtask, whatever its kind,
+// starts again when that start can't be carried out any more, counted from when it was
+// sent, also if another try was answered.
 func TestHeldBackFromTheOrder(t *testing.T) {
-	for longRunning, within := range map[bool]time.Duration{true: 7 * time.Second, false: 12 * time.Second} {
+	for name, c := range map[string]struct{ longRunning, confirmed bool }{
+		"plain": {}, "long-running": {longRunning: true}, "plain, confirmed": {confirmed: true},
+		"long-running, confirmed": {longRunning: true, confirmed: true},
+	} {
+		r := newRig(t)
+		h, sent := r.rows[0], r.clock.Now()
+		p := r.startUnansweredAt(h, c.longRunning)
+		if c.confirmed {
+			p.confirmedAt, p.task.Phase = sent, steps.Running
+		}
+		r.clock.Advance(4300 * time.Millisecond)
+		r.endIncarnation(h, "lease is over")
+		require.Equal(t, 12*time.Second, p.task.HeldUntil.Sub(sent), name)
+	}
+}
+
+// A subtask that was started once, with an answer, is not held back.
+func TestAnsweredStartIsNotHeldBack(t *testing.T) {
+	r := newRig(t)
+	r.endIncarnation(r.rows[0], "lease is over")
+	require.Zero(t, r.tasks[0].HeldUntil)
+}
+
+// LOST: users want a long-running subtask back within 7 seconds. It is not held back any
+// longer once the worker, or another one at its address, refuses the unanswered start.
+func TestHoldEndsWhenStartIsBlocked(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer error
+		held   bool
+	}{
+		"the worker is back":      {nil, false},
+		"the run has ended there": {runs.ErrStaleRun, false},
+		"another worker answers":  {runs.ErrIncarnation, false},
+		"nothing answers":         {plat.ErrUnknown, true},
+		"nothing listens":         {plat.ErrUnavailable, true},
+	} {
 		r := newRig(t)
 		h := r.rows[0]
-		p := h.runs[r.tasks[0].ID]
-		p.task.Step.LongRunning = longRunning
-		p.confirmedAt, p.startSentAt, p.task.Phase = time.Time{}, r.clock.Now(), steps.Starting
-		sent := r.clock.Now()
+		r.Workers.Stop = func(context.Context, runs.Target, runs.Stop) (runs.Reply, error) { return runs.Reply{}, c.answer }
+		p := r.startUnansweredAt(h, true)
 		r.clock.Advance(4300 * time.Millisecond)
+		trap := r.clock.Trap().NewTimer()
 		r.endIncarnation(h, "lease is over")
-		require.LessOrEqual(t, p.task.HeldUntil.Sub(sent), within)
-		require.True(t, p.task.HeldUntil.After(r.clock.Now()))
+		if c.answer != nil {
+			trap.MustWait(t.Context()).MustRelease(t.Context())
+			r.clock.Advance(orderRetryDelay).MustWait(t.Context())
+		}
+		trap.Close()
+		r.handle(<-r.inbox)
+		require.Equal(t, c.held, r.clock.Now().Before(p.task.HeldUntil), name)
 	}
 }
+
+// The next incarnation is lost as well: it had refused the start, the one after it has not.
+func TestSecondRestartHoldsBackAgain(t *testing.T) {
+	r := newRig(t)
+	h := r.rows[0]
+	p := r.startUnansweredAt(h, false)
+	r.endIncarnation(h, "lease is over")
+	r.handle(<-r.inbox)
+	require.Zero(t, p.task.HeldUntil)
+	next := newHost(h.worker)
+	r.hosts[h.id] = next
+	p.task.Phase, p.task.Run, p.task.WorkerID = steps.Running, p.run+1, h.id
+	r.reserveRoom(next, &placement{task: p.task, job: p.job, run: p.run + 1, confirmedAt: r.clock.Now()})
+	r.endIncarnation(next, "another incarnation answers")
+	require.True(t, p.task.HeldUntil.After(r.clock.Now()))
+}
+
+// startUnansweredAt makes the subtask on a worker one whose start has just been sent
+// and got no answer.
+func (r *rig) startUnansweredAt(h *host, longRunning bool) *placement {
+	p := h.runs[r.tasks[0].ID]
+	p.task.Step.LongRunning = longRunning
+	p.confirmedAt, p.startSentAt, p.task.Phase = time.Time{}, r.clock.Now(), steps.Starting
+	r.recordUnanswered(h, p)
+	return p
+}
--- a/owner/util_test.go
+++ b/owner/util_test.go
@@ -42,3 +42,9 @@
 	}
 	return []fakes.CallFault{fakes.RefuseCall, fakes.DropCall, fakes.DropAnswer, fakes.DelayCall}[l.rand.IntN(4)]
 }
+
+func (l *lockedRand) intN(n int) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rand.IntN(n)
+}
