owner, elect: take jobs only while the election is in force

Callers would see TWICE: a job that is accepted just after an election starts at two owners. The later one starts it at once, since no earlier owner can have started any of it. But an earlier one whose renewals and watch of elections hang does not know that it was replaced, hears of the job in its watch of jobs, and starts it on a worker that the later one has not looked at yet. Both use run 1. The class: acting on a permission that has run out.

An owner now takes jobs from its watch only while its lease in the store certainly lasts: counted from the sending of the last renewal that was answered, by a clock that counts suspension. What it hears until then was accepted before any later election. A new owner that is not sure of that when it reads the pool treats all jobs as older.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -230,7 +230,7 @@
 
 func (a *Agent) newElector(ctx context.Context) *elect.Elector {
 	return elect.New(elect.Params{
-		Name: a.currentSettings().Name, Cores: a.currentSettings().Cores, Clock: a.clock, Log: a.log, TTL: max(leaseTTL, a.currentSettings().Bounds.MinStoreLease),
+		Name: a.currentSettings().Name, Cores: a.currentSettings().Cores, Clock: a.clock, SinceBoot: sinceBoot, Log: a.log, TTL: max(leaseTTL, a.currentSettings().Bounds.MinStoreLease),
 		Store: elect.Store{
 			List: a.store.List, Watch: a.store.Watch, Commit: a.store.Commit, Get: a.store.Get,
 			Grant: a.store.Grant, Renew: a.store.Renew, Revoke: a.store.Revoke,
@@ -257,8 +257,8 @@
 			Start: a.workers.Start, Stop: a.workers.Stop, Renew: a.workers.Renew, Pace: a.workers.Pace,
 		},
 		ReadPlan:   func(ctx context.Context) (owner.PoolPlan, error) { return a.readPoolPlan(ctx, t.Pool) },
-		AskAdvisor: a.advisor.Ask,
-		Clock:      a.clock, Log: a.log, Stats: a.stats,
+		AskAdvisor: a.advisor.Ask, Proven: a.elector.Proven,
+		Clock: a.clock, Log: a.log, Stats: a.stats,
 	})
 	a.addRunner(t, o, stop)
 	select {
--- a/elect/elect.go
+++ b/elect/elect.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/quartz"
@@ -54,7 +55,10 @@
 	Cores float64
 	Store Store
 	Clock quartz.Clock
-	Log   *log.Logger
+	// SinceBoot returns the time since some moment, including the time for which the host
+	// was suspended.
+	SinceBoot func() time.Duration
+	Log       *log.Logger
 	// TTL is the length of the entry's lease.
 	TTL time.Duration
 	// Won is called when this entry becomes leader of a pool, Lost, with the
@@ -72,8 +76,10 @@
 	// registeredAt is when the current lease was granted.
 	registeredAt time.Time
 	renewedAt    time.Time
-	granting     bool // a request for a lease is under way
-	renewing     bool // a renewal of the lease is under way
+	// provenUntil is until when the lease certainly lasts, by SinceBoot; read by Proven.
+	provenUntil atomic.Int64
+	granting    bool // a request for a lease is under way
+	renewing    bool // a renewal of the lease is under way
 
 	pools        []string
 	coresByEntry map[string]float64     // of the registered entries
@@ -146,11 +152,13 @@
 	}
 	leaseGranted struct {
 		lease int64
+		sent  time.Duration // by SinceBoot
 		err   error
 	}
 	leaseRenewed struct {
 		lease int64
 		at    time.Time
+		sent  time.Duration // by SinceBoot
 		err   error
 	}
 	keyRemoved struct {
@@ -352,6 +360,7 @@
 	case e.lease == 0 && !e.granting:
 		e.granting = true
 		go func() {
+			sent := e.SinceBoot()
 			id, err := e.Store.Grant(ctx, e.TTL)
 			if err == nil {
 				err = e.register(ctx, id)
@@ -359,17 +368,18 @@
 			if err != nil {
 				e.pause(ctx)
 			}
-			e.send(ctx, leaseGranted{id, err})
+			e.send(ctx, leaseGranted{id, sent, err})
 		}()
 	case e.lease != 0 && !e.renewing && now.Sub(e.renewedAt) >= e.TTL/renewalsPerTTL:
 		e.renewing = true
 		id := e.lease
 		go func() {
+			sent := e.SinceBoot()
 			err := e.Store.Renew(ctx, id)
 			if err != nil {
 				e.pause(ctx)
 			}
-			e.send(ctx, leaseRenewed{id, now, err})
+			e.send(ctx, leaseRenewed{id, now, sent, err})
 		}()
 	}
 }
@@ -406,6 +416,7 @@
 		return
 	}
 	e.lease, e.registeredAt, e.renewedAt = m.lease, e.Clock.Now(), e.Clock.Now()
+	e.prove(m.sent)
 	e.Log.Info().Int64("lease", m.lease).Dur("ttl", e.TTL).Msg("entry registered")
 }
 
@@ -416,6 +427,7 @@
 	}
 	if m.err == nil {
 		e.renewedAt = m.at
+		e.prove(m.sent)
 		return
 	}
 	if errors.Is(m.err, plat.ErrNotFound) {
@@ -427,6 +439,17 @@
 	}
 }
 
+// leaseMargin is how much earlier than by this entry's clock the store may end a lease.
+const leaseMargin = 50 * time.Millisecond
+
+// prove records that the store has answered a call for the lease that was sent at a time.
+func (e *Elector) prove(sent time.Duration) { e.provenUntil.Store(int64(sent + e.TTL - leaseMargin)) }
+
+// Proven reports whether the entry's lease certainly lasts, so that no other entry can
+// have been elected in its place. While the store can't be reached, it does not report so,
+// although nobody can be elected then. It is safe for concurrent use.
+func (e *Elector) Proven() bool { return int64(e.SinceBoot()) < e.provenUntil.Load() }
+
 // resignAll gives up all pools and revokes the entry's lease, which removes its
 // leader keys.
 func (e *Elector) resignAll(ctx context.Context, done chan struct{}) {
--- a/elect/elect_test.go
+++ b/elect/elect_test.go
@@ -19,6 +19,10 @@
 
 const ttl = 1500 * time.Millisecond
 
+// sinceBoot returns the time by the clock of package time, which is that of the bubble in
+// a synctest.
+func sinceBoot() time.Duration { return time.Duration(time.Now().UnixNano()) }
+
 // election runs electors on one store and records who leads.
 type election struct {
 	kv *fakes.KV
@@ -62,7 +66,7 @@
 		cores = 1
 	}
 	e := elect.New(elect.Params{
-		Name: name, Cores: cores, Clock: quartz.NewReal(), TTL: ttl, Log: &log.Logger{Writer: log.IOWriter{Writer: io.Discard}},
+		Name: name, Cores: cores, Clock: quartz.NewReal(), SinceBoot: sinceBoot, TTL: ttl, Log: &log.Logger{Writer: log.IOWriter{Writer: io.Discard}},
 		Store: elect.Store{
 			List: el.kv.List, Watch: el.kv.Watch, Commit: el.kv.Commit, Get: el.kv.Get,
 			Grant: el.kv.Grant, Renew: el.kv.Renew, Revoke: el.kv.Revoke,
@@ -205,3 +209,31 @@
 		})
 	}
 }
+
+// TWICE: a leader whose renewals hang must not count on its lease when another entry is
+// elected.
+func TestLeaseIsNotProvenWhenAnotherLeads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		el := newElection()
+		el.kv.InjectFault = func(op, _ string) fakes.CallFault {
+			if op == "renew" && time.Since(time.Unix(946684800, 0)) > 5*time.Second {
+				return fakes.DropCall
+			}
+			return fakes.NoFault
+		}
+		a, _ := el.startEntry(ctx, "a", []string{"p"})
+		require.False(t, a.Proven(), "before it is registered")
+		time.Sleep(4 * time.Second)
+		require.True(t, a.Proven())
+		for {
+			if _, ok := el.kv.Peek(elect.Key("p")); !ok {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		require.False(t, a.Proven(), "the store has ended the lease")
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -136,14 +136,14 @@
 		o.Log.Error().Str("job", id).Err(err).Msg("stored job is not readable")
 		return
 	}
-	o.addJob(&doc, it.Rev > o.Fence)
+	o.addJob(&doc, it.Rev > o.Fence && (watched || o.Proven()))
 	if _, early := o.cancelRequests[id]; early && watched {
 		o.cancelJob(id)
 	}
 }
 
 // addJob adds a job to the open ones. fresh is true if the job was accepted after
-// the election.
+// the election, and certainly before any later one.
 func (o *Owner) addJob(doc *steps.Job, fresh bool) {
 	j := &job{progress: steps.NewProgress(doc), acceptedInTerm: fresh, longRunning: doc.LongRunning()}
 	j.key = StateKey(o.Pool, doc.ID)
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -71,6 +71,9 @@
 	Workers Workers
 	// ReadPlan reads the pool's part of the fleet plan.
 	ReadPlan func(ctx context.Context) (PoolPlan, error)
+	// Proven reports whether the election is certainly in force, so that no later owner can
+	// have been elected. It does not report so while the store can't be reached.
+	Proven func() bool
 	// AskAdvisor returns a ticket for each worker that the advisor lets run a step,
 	// by worker. It gives up after the time in within.
 	AskAdvisor func(ctx context.Context, q runs.AdvisorQuery, within time.Duration) (map[string]string, error)
@@ -377,11 +380,29 @@
 		}
 		rev = next
 		if len(items) > 0 {
+			o.awaitProof(ctx)
 			o.post(itemsWritten{items})
 		}
 	}
 }
 
+// proofInterval is how often an owner in doubt checks whether its election is in force.
+const proofInterval = 20 * time.Millisecond
+
+// awaitProof waits until the election is certainly in force, or the context ends. A later
+// owner starts at once what was accepted after its election, as no earlier one can have
+// started it: this one must not hear of such a job.
+func (o *Owner) awaitProof(ctx context.Context) {
+	if o.Proven() {
+		return
+	}
+	since := o.Clock.Now()
+	for !o.Proven() && ctx.Err() == nil {
+		o.sleep(ctx, proofInterval)
+	}
+	o.Log.Info().Str("pool", o.Pool).Dur("waited", o.Clock.Since(since)).Msg("new jobs waited until the election was known to be in force")
+}
+
 // watchOnce watches once. A store that is about to discard its history doesn't end
 // watches when their wait is over; while jobs are expected, the caller lists them then.
 func (o *Owner) watchOnce(ctx context.Context, prefix string, rev int64, wait time.Duration) ([]plat.Item, int64, error) {
--- a/owner/pool_test.go
+++ b/owner/pool_test.go
@@ -213,8 +213,9 @@
 	}
 	e.elect = elect.New(elect.Params{
 		Name: name, Cores: 1, Store: store, Clock: quartz.NewReal(), Log: pool.log, TTL: 1500 * time.Millisecond,
-		Won:  func(t elect.Term) { pool.elected(ctx, e, t, store) },
-		Lost: func(elect.Term, string) { pool.lost(e) },
+		SinceBoot: func() time.Duration { return time.Duration(time.Now().UnixNano()) },
+		Won:       func(t elect.Term) { pool.elected(ctx, e, t, store) },
+		Lost:      func(elect.Term, string) { pool.lost(e) },
 	})
 	pool.mu.Lock()
 	pool.entries[name] = e
@@ -231,7 +232,7 @@
 		Bounds:     owner.Bounds{MaxLease: holdMax, StopTime: 200 * time.Millisecond, Drain: 2 * time.Second, StatusRetention: time.Hour},
 		Store:      owner.Store{List: store.List, Watch: store.Watch, Commit: store.Commit},
 		Workers:    pool.orders(e),
-		AskAdvisor: pool.workers.Ask,
+		AskAdvisor: pool.workers.Ask, Proven: e.elect.Proven,
 		ReadPlan: func(context.Context) (owner.PoolPlan, error) {
 			pool.mu.Lock()
 			defer pool.mu.Unlock()
--- a/owner/release_test.go
+++ b/owner/release_test.go
@@ -32,7 +32,7 @@
 	r.Owner = New(Params{
 		Pool: "a", Clock: r.clock, Bounds: Bounds{StopTime: 400 * time.Millisecond, MaxLease: time.Minute},
 		Log:   &log.Logger{Writer: log.IOWriter{Writer: io.Discard}},
-		Stats: NewStats(metrics.NewRegistry()),
+		Stats: NewStats(metrics.NewRegistry()), Proven: func() bool { return true },
 		Workers: Workers{Stop: func(_ context.Context, _ runs.Target, s runs.Stop) (runs.Reply, error) {
 			r.stops <- s
 			return runs.Reply{}, nil
--- a/owner/twoowners_test.go
+++ b/owner/twoowners_test.go
@@ -24,7 +24,6 @@
 		former.deaf = true
 		pool.mu.Unlock()
 		it, _ := pool.kv.Peek("seat/lead/" + poolName)
-		pool.kv.EndLease(leaseOf(it.Value))
 		fence := it.Rev
 		// The successor's reads of the pool take a second, and its first poll of the worker
 		// that the former owner orders is lost.
