owner: ask idle workers for a successor while the election is in doubt

Callers would see TWICE: an owner that is cut from the store goes on renewing the lease of a worker that its successor can't reach. The successor waits for the longest lease from its first polls, 4 s, and then starts the worker's subtasks elsewhere while they run. The earlier owner was ended only by a worker that it polled, and it polled only workers with runs; and a renewal in the second before it heard of its end outlasted the successor's wait. docs/PROOF.md had the case as open.

While its lease in the store may have ended, an owner now polls all workers twice a second, so that it hears of its successor from any worker that both reach within half a second and one poll, and gives leases of 3 s: 0.5 s + 3 s by a clock 2 % slow is less than the wait of 4.2 s. While the store is down for all, this costs looks at idle workers and nothing else.

Open as before: no worker at all that both reach.

--- a/owner/host.go
+++ b/owner/host.go
@@ -48,6 +48,8 @@
 	// awaitsStarts is true while starts without an answer may still be carried out: the
 	// worker is polled, so that a restart is noticed before they are.
 	awaitsStarts bool
+	// proofDue is true if the worker is to be asked whether it has seen a later owner.
+	proofDue     bool
 	polling      bool
 	nextPoll     time.Time
 	failingSince time.Time // since when polls have failed; zero if they succeed
@@ -103,6 +105,14 @@
 	// an election and a takeover. A later owner relies on it, so that owners of all
 	// versions must keep to it.
 	leaseCap = 4 * time.Second
+	// doubtLease replaces leaseCap while it is in doubt whether the election is in force. A
+	// later owner waits for leaseCap from its first polls; this one hears of them from any
+	// worker within doubtPollWait and a poll, and has given no lease beyond that wait then.
+	doubtLease = 3 * time.Second
+	// doubtPollWait replaces pollWait meanwhile, and doubtPollInterval is how often idle
+	// workers are polled.
+	doubtPollWait     = 500 * time.Millisecond
+	doubtPollInterval = 500 * time.Millisecond
 	// maxClockAge is the age from which an idle worker's clock is read again, as its
 	// lower bound falls behind.
 	maxClockAge = 20 * time.Second
@@ -161,7 +171,11 @@
 
 // leaseLength returns the length of the leases that the owner gives.
 func (o *Owner) leaseLength() time.Duration {
-	return min(time.Duration(float64(o.Bounds.MaxLease)*leaseFraction), leaseCap)
+	longest := leaseCap
+	if o.inDoubt {
+		longest = doubtLease
+	}
+	return min(time.Duration(float64(o.Bounds.MaxLease)*leaseFraction), longest)
 }
 
 // rosterEntry is a worker that may have runs of the pool.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -134,6 +134,8 @@
 	// trialsWait tells that in the last scheduling pass a subtask that may have crashed a
 	// worker found none to start on.
 	trialsWait bool
+	// inDoubt tells that a later owner may have been elected.
+	inDoubt bool
 	// restartsWait tells that in the last scheduling pass a subtask waited until its record
 	// is stored.
 	restartsWait bool
@@ -305,6 +307,7 @@
 			o.scheduleStarts(now)
 		}
 	}
+	o.checkElection()
 	o.forgetUnanswered(now)
 	o.retryOrders(now)
 	o.pollHosts(now)
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -33,13 +33,23 @@
 	if h.polling || now.Before(h.nextPoll) {
 		return false
 	}
-	return !h.answered || h.awaitsStarts || len(h.runs) > 0 || h.ackable > h.acked || len(h.unacked) > 0 || !h.failingSince.IsZero() || now.Sub(h.clockAt) > maxClockAge
+	return !h.answered || h.awaitsStarts || h.proofDue || len(h.runs) > 0 || h.ackable > h.acked || len(h.unacked) > 0 || !h.failingSince.IsZero() || now.Sub(h.clockAt) > maxClockAge
+}
+
+// checkElection notes whether the election is certainly in force. While it is in doubt, all
+// workers are polled: one that has seen a later owner's token tells.
+func (o *Owner) checkElection() {
+	if inDoubt := !o.Proven(); inDoubt != o.inDoubt {
+		o.inDoubt = inDoubt
+		o.Log.Info().Str("pool", o.Pool).Int64("fence", o.Fence).Bool("doubt", inDoubt).Msg("doubt about the election changed")
+	}
 }
 
 // pollHosts polls the workers that are due.
 func (o *Owner) pollHosts(now time.Time) {
 	for _, h := range o.hosts {
 		h.awaitsStarts = len(o.unanswered[h.id]) > 0
+		h.proofDue = o.inDoubt && now.Sub(h.clockAt) >= doubtPollInterval
 		if h.pollDue(now) {
 			o.poll(h, now)
 		}
@@ -72,6 +82,9 @@
 		case h.servesAndFills():
 			wait = mixedPollWait
 		}
+		if o.inDoubt {
+			wait = min(wait, doubtPollWait)
+		}
 		n.WaitMs = int(wait.Milliseconds())
 	}
 	o.Stats.Polls.Inc(1)
