owner: hold a subtask back until the stop of its unanswered start is over

Callers would see TWICE: a worker has carried out a start that got no answer, and the stop that is to block the start is answered at once, while the run ends up to StopMs later. The subtask was free from the answer on and could start on another worker while the first run was still being stopped. The class: an order is taken as done when it is only accepted.

The hold now lasts for the time of a stop from its answer. If the worker refuses the stop as stale, or another worker answers at the address, nothing runs there and the subtask is free at once, as before.

TestHoldEndsWhenStartIsBlocked asserted that the hold is over with the answer, which allows two runs; it now asserts the exact time for each answer and failed before (0 s in place of 220 ms, and 7.6 s where nothing answers, as before). The same in TestSecondRestartHoldsBackAgain. owner's tests pass (43 s).

--- a/owner/unanswered.go
+++ b/owner/unanswered.go
@@ -14,6 +14,9 @@
 // sent.
 const maxOrderDelay = 12 * time.Second
 
+// stopSlack is added to Bounds.StopTime, which the worker measures by its own clock.
+const stopSlack = 20 * time.Millisecond
+
 // unansweredStart is a start without an answer. The worker, or a later incarnation
 // with the same ID, may still carry it out.
 type unansweredStart struct {
@@ -108,10 +111,13 @@
 	u, now := m.start, o.Clock.Now()
 	u.blocking = false
 	switch {
-	case m.err == nil, errors.Is(m.err, runs.ErrStaleRun):
-		o.endHold(u, "the worker refuses it")
+	case m.err == nil:
+		// The start may have been carried out before the stop.
+		o.endHold(u, now.Add(o.Bounds.StopTime+stopSlack), "the worker refuses it")
+	case errors.Is(m.err, runs.ErrStaleRun):
+		o.endHold(u, now, "the worker refuses it")
 	case errors.Is(m.err, runs.ErrIncarnation):
-		o.endHold(u, "another worker answers at the address")
+		o.endHold(u, now, "another worker answers at the address")
 	case errors.Is(m.err, runs.ErrFence):
 		o.depose("a worker has heard a higher token")
 	case u.mayArriveUntil().After(now):
@@ -119,9 +125,9 @@
 	}
 }
 
-// endHold lets the subtask of a blocked start begin again, unless another start may still
-// be carried out.
-func (o *Owner) endHold(u *unansweredStart, why string) {
+// endHold lets the subtask of a blocked start begin again at the given time, unless another
+// start may still be carried out.
+func (o *Owner) endHold(u *unansweredStart, at time.Time, why string) {
 	u.blocked = true
 	o.Log.Info().Str("task", u.task.ID.String()).Int("run", u.run).Str("host", u.to.ID).Dur("age", o.Clock.Since(u.sent)).
 		Str("cause", why).Msg("unanswered start can't be carried out any more")
@@ -130,6 +136,6 @@
 			return
 		}
 	}
-	u.task.HeldUntil = time.Time{}
+	u.task.HeldUntil = at
 	o.passNeeded = true
 }
--- a/owner/unanswered_test.go
+++ b/owner/unanswered_test.go
@@ -40,19 +40,21 @@
 }
 
 // LOST: users want a long-running subtask back within 7 seconds. It is not held back any
-// longer once the worker, or another one at its address, refuses the unanswered start.
+// longer once the worker, or another one at its address, refuses the unanswered start. TWICE:
+// if the start has been carried out before, its run takes the time of a stop to end.
 func TestHoldEndsWhenStartIsBlocked(t *testing.T) {
 	for name, c := range map[string]struct {
 		answer error
-		held   bool
+		held   time.Duration
 	}{
-		"the worker is back":      {nil, false},
-		"the run has ended there": {runs.ErrStaleRun, false},
-		"another worker answers":  {runs.ErrIncarnation, false},
-		"nothing answers":         {plat.ErrUnknown, true},
-		"nothing listens":         {plat.ErrUnavailable, true},
+		"the worker is back":      {nil, 220 * time.Millisecond},
+		"the run has ended there": {runs.ErrStaleRun, 0},
+		"another worker answers":  {runs.ErrIncarnation, 0},
+		"nothing answers":         {plat.ErrUnknown, 7600 * time.Millisecond},
+		"nothing listens":         {plat.ErrUnavailable, 7600 * time.Millisecond},
 	} {
 		r := newRig(t)
+		r.Bounds.StopTime = 200 * time.Millisecond
 		h := r.rows[0]
 		r.Workers.Stop = func(context.Context, runs.Target, runs.Stop) (runs.Reply, error) { return runs.Reply{}, c.answer }
 		p := r.startUnansweredAt(h, true)
@@ -65,7 +67,7 @@
 		}
 		trap.Close()
 		r.handle(<-r.inbox)
-		require.Equal(t, c.held, r.clock.Now().Before(p.task.HeldUntil), name)
+		require.Equal(t, c.held, max(p.task.HeldUntil.Sub(r.clock.Now()), 0), name)
 	}
 }
 
@@ -76,13 +78,13 @@
 	p := r.startUnansweredAt(h, false)
 	r.endIncarnation(h, "lease is over")
 	r.handle(<-r.inbox)
-	require.Zero(t, p.task.HeldUntil)
+	require.Equal(t, r.Bounds.StopTime+stopSlack, p.task.HeldUntil.Sub(r.clock.Now()))
 	next := newHost(h.worker)
 	r.hosts[h.id] = next
 	p.task.Phase, p.task.Run, p.task.WorkerID = steps.Running, p.run+1, h.id
 	r.reserveRoom(next, &placement{task: p.task, job: p.job, run: p.run + 1, confirmedAt: r.clock.Now()})
 	r.endIncarnation(next, "another incarnation answers")
-	require.True(t, p.task.HeldUntil.After(r.clock.Now()))
+	require.Equal(t, maxOrderDelay, p.task.HeldUntil.Sub(r.clock.Now()))
 }
 
 // startUnansweredAt makes the subtask on a worker one whose start has just been sent
