owner: wait for late orders to the earlier incarnation of a restarted worker

Callers would see LOST or TWICE. A poll gets no answer, its worker restarts under its ID, and the next incarnation carries the poll out seconds later. If it acknowledges ends, it drops ends of the new incarnation that nobody has read, as both number them from 1: a run that is done counts as vanished and starts again. If it extends the lease, its time lies far ahead of the new clock, so that the worker gives its longest lease of 10 s, while the owner reckons with 4 s and starts the subtasks of a worker that is then cut off elsewhere. The class: an order whose outcome isn't known is taken as not done.

The owner keeps until when orders without an answer to an incarnation may be carried out. The next one with that ID gets no work while a poll that acknowledges may arrive, and its first lease is taken to last for the longest lease beyond the last order. Polls acknowledge ends once, so that few of them count. The stop that blocks an unanswered start is sent from the first failed poll on, as the worker may restart before that is noticed.

The stand-in carries out late orders after 2 to 12 s in the model (before: 3 s), and not within 300 ms of the first call that reaches a new incarnation: no owner can keep an incarnation that it has not reached from carrying out an order.

--- a/fakes/workerset.go
+++ b/fakes/workerset.go
@@ -77,6 +77,7 @@
 	used           hosts.Resources
 	former         []formerCapacity
 	changed        chan struct{} // closed and replaced when a run ends
+	reachedAt      time.Time     // by the first call that it accepted
 	// drainedAt is the time at which the worker was marked as draining, or joined.
 	drainedAt time.Time
 }
@@ -211,7 +212,7 @@
 	case fault == DelayCall:
 		// The sender may have ended by then, and another incarnation with the same ID may
 		// carry out the order.
-		time.AfterFunc(ws.lateOrderDelay(), deliver)
+		time.AfterFunc(ws.lateOrderDelay(), func() { ws.afterSettling(w, deliver) })
 		return errAfter(ctx, workerTimeout, plat.ErrUnknown)
 	}
 	// An order that has been sent arrives even if its sender's context ends.
@@ -223,6 +224,22 @@
 	return result
 }
 
+// settling is the time from the first call that reaches an incarnation on in which an owner
+// makes it refuse what was meant for an earlier one.
+const settling = 300 * time.Millisecond
+
+// afterSettling delivers a late order, unless the worker has been replaced by an incarnation
+// that no owner has reached yet: no owner can keep that one from carrying out the order.
+func (ws *WorkerSet) afterSettling(meant *workerState, deliver func()) {
+	ws.mu.Lock()
+	w := ws.workers[meant.ID]
+	early := w != meant && (w.reachedAt.IsZero() || time.Since(w.reachedAt) < settling)
+	ws.mu.Unlock()
+	if !early {
+		deliver()
+	}
+}
+
 // lateOrderDelay returns the time after which an order with the fault DelayCall is
 // carried out.
 func (ws *WorkerSet) lateOrderDelay() time.Duration {
@@ -250,6 +267,9 @@
 	if fence < w.fence {
 		return runs.ErrFence
 	}
+	if w.reachedAt.IsZero() {
+		w.reachedAt = time.Now()
+	}
 	w.fence = fence
 	return nil
 }
--- a/owner/host.go
+++ b/owner/host.go
@@ -49,14 +49,21 @@
 	// worker is polled, so that a restart is noticed before they are.
 	awaitsStarts bool
 	// proofDue is true if the worker is to be asked whether it has seen a later owner.
-	proofDue     bool
-	polling      bool
-	nextPoll     time.Time
-	failingSince time.Time // since when polls have failed; zero if they succeed
-	leavingSince time.Time // when the worker was first listed as draining
-	noRoomUntil  time.Time // no starts before this time, because one was refused
-	health       pack.Health
-	unhealthy    bool // as of the last scheduling pass
+	proofDue bool
+	// polling tells that a poll is under way, polledAt when the last one was sent, and
+	// pollAcks whether it acknowledges ends.
+	polling, pollAcks bool
+	polledAt          time.Time
+	nextPoll          time.Time
+	failingSince      time.Time // since when polls have failed; zero if they succeed
+	leavingSince      time.Time // when the worker was first listed as draining
+	// noRoomUntil is the time before which the worker gets no starts: it has refused one, or
+	// orders to an earlier incarnation may be carried out there.
+	noRoomUntil time.Time
+	// lateLeases is until when an order to an earlier incarnation may extend the lease.
+	lateLeases time.Time
+	health     pack.Health
+	unhealthy  bool // as of the last scheduling pass
 	// fillShare is the share, in percent, at which filling (best-effort) subtasks may
 	// run.
 	fillShare int
@@ -269,6 +276,7 @@
 	if h == nil {
 		h = newHost(w)
 		h.releaseTask = o.fleetPlan.Release[w.ID]
+		o.inheritLateOrders(h)
 		o.hosts[w.ID] = h
 		o.markChanged(o.roster)
 		h.rosterVersion = o.roster.version
@@ -300,6 +308,9 @@
 func (o *Owner) endIncarnation(h *host, why string) {
 	o.Log.Info().Str("pool", o.Pool).Str("host", h.id).Int64("born", h.startedMs).Int("runs", len(h.runs)).
 		Str("cause", why).Msg("worker incarnation ended")
+	if h.polling {
+		o.recordLateOrder(h, h.polledAt, h.pollAcks)
+	}
 	neighbours := len(h.runs) - 1
 	for _, p := range h.runs {
 		o.recordLostRun(h, p, neighbours)
--- a/owner/model_test.go
+++ b/owner/model_test.go
@@ -77,6 +77,12 @@
 	},
 }
 
+// An order that is carried out late is so within these times after it was sent.
+const (
+	minOrderDelay = 2 * time.Second
+	maxOrderDelay = 12 * time.Second
+)
+
 // run simulates a pool under random load and failures from a seed: 25 seconds with
 // failures, then 90 without. It returns the pool at the end.
 func run(t *testing.T, seed uint64, prepare func(pool *testPool)) *testPool {
@@ -86,7 +92,7 @@
 		pool = newTestPool(t, seed)
 		r := pool.rand
 		storeFails, ordersFail := r.IntN(3) == 0, r.IntN(3) == 0
-		storeRand, orderRand := newLockedRand(seed, 1), newLockedRand(seed, 2)
+		storeRand, orderRand, delayRand := newLockedRand(seed, 1), newLockedRand(seed, 2), newLockedRand(seed, 3)
 		begun, failurePeriod := time.Now(), 25*time.Second
 		pool.kv.InjectFault = func(op, _ string) fakes.CallFault {
 			if !storeFails || time.Since(begun) > failurePeriod || op == "watch" {
@@ -100,6 +106,9 @@
 			}
 			return orderRand.pick(15)
 		}
+		pool.workers.LateOrderDelay = func() time.Duration {
+			return minOrderDelay + time.Duration(delayRand.intN(int(maxOrderDelay-minOrderDelay)))
+		}
 		if prepare != nil {
 			prepare(pool)
 		}
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"shallotpaddle/hosts"
+	"shallotpaddle/plat"
 	"shallotpaddle/runs"
 	"shallotpaddle/steps"
 )
@@ -60,7 +61,7 @@
 func (o *Owner) poll(h *host, now time.Time) {
 	h.polling = true
 	n := runs.Renew{Fence: o.Fence}
-	if h.failingSince.IsZero() {
+	if h.failingSince.IsZero() && h.ackable > h.acked {
 		// Each incarnation numbers its ends from 1. A worker that does not answer may
 		// have been replaced by another incarnation, which would drop ends that no
 		// owner has read.
@@ -87,6 +88,7 @@
 		}
 		n.WaitMs = int(wait.Milliseconds())
 	}
+	h.polledAt, h.pollAcks = now, n.AckedThrough > 0
 	o.Stats.Polls.Inc(1)
 	to := h.target()
 	go func() {
@@ -114,11 +116,12 @@
 		return // the incarnation ended meanwhile
 	}
 	if m.err != nil {
-		o.pollFailed(h, m.err, now)
+		o.pollFailed(m, now)
 		return
 	}
 	if m.report.StartedMs != 0 && h.startedMs != 0 && m.report.StartedMs != h.startedMs {
 		w := h.worker
+		o.recordLateOrder(h, m.sent, false) // the next incarnation has taken its lease
 		o.loseIncarnation(h, "another incarnation answers")
 		w.StartedMs = m.report.StartedMs
 		w.Capacity, w.Labels, w.Rack = hosts.Resources{}, nil, "" // until it is registered
@@ -136,8 +139,7 @@
 	if !h.answered {
 		h.answered = true
 		o.passNeeded = true
-		// Its runs may hold a lease that an earlier owner gave until now.
-		h.leaseUntil = max(h.leaseUntil, m.report.ClockMs+leaseCap.Milliseconds())
+		h.leaseUntil = max(h.leaseUntil, m.report.ClockMs+o.inheritedLease(h, now).Milliseconds())
 	}
 	if m.report.StartedMs != 0 {
 		h.startedMs = m.report.StartedMs
@@ -161,8 +163,12 @@
 }
 
 // pollFailed handles a poll that returned an error.
-func (o *Owner) pollFailed(h *host, err error, now time.Time) {
+func (o *Owner) pollFailed(m pollResult, now time.Time) {
+	h, err := m.host, m.err
 	o.Stats.PollsFailed.Inc(1)
+	if errors.Is(err, plat.ErrUnknown) {
+		o.recordLateOrder(h, m.sent, m.acked > 0)
+	}
 	h.nextPoll = now.Add(pollRetryDelay)
 	switch {
 	case errors.Is(err, runs.ErrFence):
@@ -172,6 +178,7 @@
 	case errors.Is(err, context.Canceled):
 	case h.failingSince.IsZero():
 		h.failingSince = now
+		o.blockUnansweredStarts(h) // it may restart before that is noticed
 		if connectionBroken(err) {
 			o.recordCrash(h, now)
 		}
--- a/owner/unanswered.go
+++ b/owner/unanswered.go
@@ -41,6 +41,7 @@
 
 // recordUnanswered records a start without an answer.
 func (o *Owner) recordUnanswered(h *host, p *placement) {
+	o.recordLateOrder(h, p.startSentAt, false)
 	for _, u := range o.unanswered[h.id] {
 		if u.task == p.task && u.run == p.run {
 			u.sent, u.blocked = p.startSentAt, false
@@ -80,10 +81,13 @@
 	}
 }
 
-// blockUnansweredStarts makes whatever answers at the address of a worker that is gone
-// refuse the starts that this one has not answered.
+// blockUnansweredStarts makes whatever answers next at the address of a worker refuse the
+// starts that this one has not answered, but for those of runs that it has.
 func (o *Owner) blockUnansweredStarts(h *host) {
 	for _, u := range o.unanswered[h.id] {
+		if p := h.runs[u.task.ID]; p != nil && p.run == u.run {
+			continue
+		}
 		u.blocked = false
 		if !u.blocking && u.mayArriveUntil().After(o.Clock.Now()) {
 			o.blockStart(u)
