owner: keep late orders of each incarnation of a worker

Callers would see LOST: a worker restarts, is given up and is registered again while a poll that acknowledges ends of its first incarnation may still be carried out. The owner kept only what the last incarnation had not answered, so that the one that was registered again got work, whose ends the late poll would drop unread.

--- a/owner/act.go
+++ b/owner/act.go
@@ -346,7 +346,7 @@
 	case errors.Is(err, runs.ErrTicket):
 		o.dropTicket(h, p)
 	default:
-		h.noRoomUntil = now.Add(noRoomPause)
+		h.noRoomUntil = later(h.noRoomUntil, now.Add(noRoomPause))
 	}
 	if p.tries > 1 && errors.Is(err, runs.ErrLeaseOver) {
 		// An earlier try may have arrived before its lease expired; the next poll tells.
--- a/owner/late.go
+++ b/owner/late.go
@@ -1,9 +1,12 @@
 package owner
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // lateOrders tells until when orders to one incarnation of a worker that got no answer may
-// be carried out. The next incarnation with the same ID would take them for its own.
+// be carried out. A later incarnation with the same ID would take them for its own.
 type lateOrders struct {
 	startedMs int64 // of the incarnation for which they are meant
 	// lease is the time for orders that extend the lease: their time on the worker's clock
@@ -16,25 +19,32 @@
 // recordLateOrder records that an order which extends the lease got no answer; acks tells
 // whether it acknowledges ends.
 func (o *Owner) recordLateOrder(h *host, sent time.Time, acks bool) {
-	l, until := o.lateOrders[h.id], sent.Add(maxOrderDelay)
-	l.startedMs, l.lease = h.startedMs, later(l.lease, until)
+	list := o.lateOrders[h.id]
+	i := slices.IndexFunc(list, func(l *lateOrders) bool { return l.startedMs == h.startedMs })
+	if i < 0 {
+		i = len(list)
+		list = append(list, &lateOrders{startedMs: h.startedMs})
+		o.lateOrders[h.id] = list
+	}
+	until := sent.Add(maxOrderDelay)
+	list[i].lease = later(list[i].lease, until)
 	if acks {
-		l.ack = later(l.ack, until)
+		list[i].ack = later(list[i].ack, until)
 	}
-	o.lateOrders[h.id] = l
 }
 
-// inheritLateOrders makes a new incarnation of a worker wait for the orders to an earlier one
+// inheritLateOrders makes a new incarnation of a worker wait for the orders to earlier ones
 // that may still be carried out there: it gets no work while its ends may be dropped
 // unread, and its lease may be longer than this owner has given.
 func (o *Owner) inheritLateOrders(h *host) {
-	l, ok := o.lateOrders[h.id]
-	if !ok || l.startedMs == h.startedMs {
-		return
+	for _, l := range o.lateOrders[h.id] {
+		if l.startedMs == h.startedMs {
+			continue
+		}
+		h.noRoomUntil, h.lateLeases = later(h.noRoomUntil, l.ack), later(h.lateLeases, l.lease)
+		o.Log.Info().Str("pool", o.Pool).Str("host", h.id).Int64("born", h.startedMs).Int64("bornBefore", l.startedMs).
+			Dur("noWorkFor", max(l.ack.Sub(o.Clock.Now()), 0)).Msg("orders to an earlier incarnation may still be carried out")
 	}
-	h.noRoomUntil, h.lateLeases = l.ack, l.lease
-	o.Log.Info().Str("pool", o.Pool).Str("host", h.id).Int64("born", h.startedMs).Int64("bornBefore", l.startedMs).
-		Dur("noWorkFor", max(l.ack.Sub(o.Clock.Now()), 0)).Msg("orders to an earlier incarnation may still be carried out")
 }
 
 // inheritedLease returns the longest lease that others than this owner may have given a
@@ -49,8 +59,10 @@
 
 // forgetLateOrders drops the orders that can't be carried out any more.
 func (o *Owner) forgetLateOrders(now time.Time) {
-	for id, l := range o.lateOrders {
-		if now.After(l.lease) {
+	for id, list := range o.lateOrders {
+		list = slices.DeleteFunc(list, func(l *lateOrders) bool { return now.After(l.lease) })
+		o.lateOrders[id] = list
+		if len(list) == 0 {
 			delete(o.lateOrders, id)
 		}
 	}
--- a/owner/late_test.go
+++ b/owner/late_test.go
@@ -82,3 +82,20 @@
 		r.handle(<-r.inbox)
 	}
 }
+
+// LOST: a restarted worker that waits for late orders is given up and is registered again,
+// or refuses a start. It goes on waiting.
+func TestRestartedWorkerGoesOnResting(t *testing.T) {
+	r, h := newRig(t), newHost(hosts.Worker{ID: "w", StartedMs: 1000})
+	r.hosts["w"], h.answered = h, true
+	r.handlePoll(pollResult{host: h, sent: r.clock.Now(), acked: 5, err: plat.ErrUnknown})
+	next := hosts.Worker{ID: "w", StartedMs: 2000}
+	r.updateWorker(next, r.clock.Now())
+	r.handlePoll(pollResult{host: r.hosts["w"], sent: r.clock.Now(), err: plat.ErrUnknown})
+	r.endIncarnation(r.hosts["w"], "lease is over")
+	r.updateWorker(next, r.clock.Now())
+	require.Equal(t, maxOrderDelay, r.hosts["w"].noRoomUntil.Sub(r.clock.Now()))
+	p := &placement{task: r.tasks[0], job: r.rows[0].runs[r.tasks[0].ID].job, run: 1, tries: 1}
+	r.startRefused(r.hosts["w"], p, runs.ErrNoCapacity, r.clock.Now())
+	require.Equal(t, maxOrderDelay, r.hosts["w"].noRoomUntil.Sub(r.clock.Now()))
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -129,9 +129,9 @@
 	// unanswered has the starts without an answer that may still be carried out, by
 	// worker ID.
 	unanswered map[string][]*unansweredStart
-	// lateOrders has the orders without an answer that the next incarnation of a worker might
+	// lateOrders has the orders without an answer that a later incarnation of a worker might
 	// carry out, by worker ID.
-	lateOrders        map[string]lateOrders
+	lateOrders        map[string][]*lateOrders
 	questionsInFlight int // to the advisor
 	callsInFlight     int // starts and stops
 	// trialsWait tells that in the last scheduling pass a subtask that may have crashed a
@@ -156,7 +156,7 @@
 func New(p Params) *Owner {
 	o := &Owner{
 		Params: p, inbox: make(chan any, inboxSize), done: make(chan struct{}), hosts: map[string]*host{}, jobs: map[string]*job{},
-		cancelRequests: map[string]struct{}{}, forecasts: map[string]*pack.Forecast{}, inflows: map[string]*shift.Inflow{}, unanswered: map[string][]*unansweredStart{}, lateOrders: map[string]lateOrders{}, trialHosts: map[*steps.Task]*host{},
+		cancelRequests: map[string]struct{}{}, forecasts: map[string]*pack.Forecast{}, inflows: map[string]*shift.Inflow{}, unanswered: map[string][]*unansweredStart{}, lateOrders: map[string][]*lateOrders{}, trialHosts: map[*steps.Task]*host{},
 	}
 	o.roster = &doc{key: rosterKey(p.Pool), encode: o.encodeRoster}
 	o.digest = &doc{key: DigestKey(p.Pool), encode: o.encodeDigest}
