owner: show that the model sees unknown outcomes taken for refusals

TestModelCatches disables three more safeguards: starts without an answer that count as refused (TWICE), leases that are longer than the owner counts (TWICE), and polls without an answer that count as refused (LOST and TWICE, the ends of a restarted worker are acknowledged unread).

--- a/owner/model_test.go
+++ b/owner/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -303,6 +304,40 @@
 				return pool.workers.Start(ctx, to, s)
 			}
 		},
+		"starts without an answer that count as refused": func(pool *testPool) {
+			pool.start = func(ctx context.Context, to runs.Target, s runs.Start) (runs.Reply, error) {
+				r, err := pool.workers.Start(ctx, to, s)
+				if errors.Is(err, plat.ErrUnknown) {
+					err = plat.ErrUnavailable
+				}
+				return r, err
+			}
+		},
+		"leases longer than the owner counts": func(pool *testPool) {
+			pool.renew = func(ctx context.Context, to runs.Target, n runs.Renew) (runs.Report, error) {
+				if n.UntilMs > 0 {
+					n.UntilMs += holdMax.Milliseconds()
+				}
+				return pool.workers.Renew(ctx, to, n)
+			}
+		},
+		"polls without an answer that count as refused": func(pool *testPool) {
+			pool.failures = map[string]func(context.Context, *testPool){"crash a worker": failures["crash a worker"]}
+			late := newLockedRand(0, 4)
+			pool.workers.InjectFault = func(_, op string) fakes.CallFault {
+				if op == "renew" && late.intN(10) == 0 {
+					return fakes.DelayCall
+				}
+				return fakes.NoFault
+			}
+			pool.renew = func(ctx context.Context, to runs.Target, n runs.Renew) (runs.Report, error) {
+				r, err := pool.workers.Renew(ctx, to, n)
+				if errors.Is(err, plat.ErrUnknown) {
+					err = plat.ErrUnavailable
+				}
+				return r, err
+			}
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range seeds() {
--- a/owner/pool_test.go
+++ b/owner/pool_test.go
@@ -38,10 +38,11 @@
 	kv      *fakes.KV
 	workers *fakes.WorkerSet
 	log     *log.Logger
-	// commit and start are the calls that owners make. Tests replace them to disable
-	// a safeguard.
+	// commit, start and renew are the calls that owners make. Tests replace them to
+	// disable a safeguard.
 	commit func(ctx context.Context, t plat.Txn) (int64, []plat.Item, error)
 	start  func(ctx context.Context, to runs.Target, s runs.Start) (runs.Reply, error)
+	renew  func(ctx context.Context, to runs.Target, n runs.Renew) (runs.Report, error)
 
 	mu          sync.Mutex
 	entries     map[string]*entry
@@ -111,7 +112,7 @@
 			if err := reach(ctx, to); err != nil {
 				return runs.Report{}, err
 			}
-			return pool.workers.Renew(ctx, to, n)
+			return pool.renew(ctx, to, n)
 		},
 		Pace: pool.workers.Pace,
 	}
@@ -126,7 +127,7 @@
 	if os.Getenv("MODEL_LOG") != "" {
 		pool.log.Writer = log.IOWriter{Writer: os.Stderr}
 	}
-	pool.commit, pool.start = pool.kv.Commit, pool.workers.Start
+	pool.commit, pool.start, pool.renew = pool.kv.Commit, pool.workers.Start, pool.workers.Renew
 	pool.workers.OnAckedEnd = pool.unrecordedEnd
 	lengths := rand.New(rand.NewPCG(seed, 8))
 	var mu sync.Mutex
