hedge: send writes to the store again when overdue

Jobs that were accepted waited too: the median age at which an owner added a job was 7.2 s from 12 to 14 s, and the greatest 25 s at the end of the fault.

Cause: every write waited 1.2 s, the time-out of a call, before anything was tried again, while the store answers in 4 ms.

With no owner no job is started and no end is recorded.

The writes now go through hedge: one without an answer after 20 ms, or three usual answer times if that is longer, is sent again on another connection with the same conditions. The first copy that is carried out makes the others' conditions false, so late copies change nothing, and the answer to a later copy settles the outcome: a conflict in which the keys have what the write put there, and the other conditions hold, is success. The last matters for the fleet controller, which takes a write as proof of its leadership. A refusal ends the repeats, and is passed on as a refusal only if no other copy can have been carried out. Each answer allows two repeats, 40 at most without one, so that a slow or silent store is not flooded. Copies without an answer are cancelled, which closes their connections.

Without repeats (maxCopies = 1) these fail: TestHalfOfAnswersLost, the other tests of lost answers in hedge, TestLeadersStayWhileAnswersAreLost in elect (a pool has no leader), TestSubmitWithLostAnswers in agent (unknown after 1.2 s). TestModelLostAnswers plays the model of a pool with such a store and repeats: 200 seeds pass.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -20,6 +20,7 @@
 
 	"shallotpaddle/elect"
 	"shallotpaddle/fleet"
+	"shallotpaddle/hedge"
 	"shallotpaddle/owner"
 	"shallotpaddle/platform"
 	"shallotpaddle/policy"
@@ -60,6 +61,7 @@
 	registry       metrics.Registry
 
 	store   *platform.Store
+	writer  *hedge.Writer // of the store
 	workers *platform.Workers
 	fleet   *platform.Fleet
 	advisor *platform.Advisor
@@ -96,6 +98,10 @@
 		runners: map[string]*runner{}, waves: map[string]fleet.Wave{}, ownerAdded: make(chan struct{}, 1),
 	}
 	a.settings.Store(set)
+	a.writer = hedge.New(hedge.Params{
+		Commit: a.store.Commit, Grant: a.store.Grant, Renew: a.store.Renew, Clock: clock, Timeout: platform.StoreTimeout,
+		Repeats: metrics.NewRegisteredCounter("store.repeats", a.registry),
+	})
 	a.stats = owner.NewStats(a.registry)
 	a.jobAPI = newJobAPI(a)
 	return a
@@ -232,8 +238,8 @@
 	return elect.New(elect.Params{
 		Name: a.currentSettings().Name, Cores: a.currentSettings().Cores, Clock: a.clock, SinceBoot: sinceBoot, Log: a.log, TTL: max(leaseTTL, a.currentSettings().Bounds.MinStoreLease),
 		Store: elect.Store{
-			List: a.store.List, Watch: a.store.Watch, Commit: a.store.Commit, Get: a.store.Get,
-			Grant: a.store.Grant, Renew: a.store.Renew, Revoke: a.store.Revoke,
+			List: a.store.List, Watch: a.store.Watch, Commit: a.writer.Commit, Get: a.store.Get,
+			Grant: a.writer.Grant, Renew: a.writer.Renew, Revoke: a.store.Revoke,
 		},
 		Won: func(t elect.Term) {
 			if t.Pool == fleet.ElectionName {
@@ -252,7 +258,7 @@
 	o := owner.New(owner.Params{
 		Pool: t.Pool, ElectionKey: elect.Key(t.Pool), Fence: t.Fence, Term: t.Number,
 		Bounds: owner.Bounds{MaxLease: a.currentSettings().Bounds.MaxLease, StopTime: a.currentSettings().Bounds.StopTime, Drain: a.currentSettings().Bounds.DrainNotice, StatusRetention: a.currentSettings().Bounds.StatusRetention},
-		Store:  owner.Store{List: a.store.List, Watch: a.store.Watch, Commit: a.store.Commit},
+		Store:  owner.Store{List: a.store.List, Watch: a.store.Watch, Commit: a.writer.Commit},
 		Workers: owner.Workers{
 			Start: a.workers.Start, Stop: a.workers.Stop, Renew: a.workers.Renew, Pace: a.workers.Pace,
 		},
@@ -286,7 +292,7 @@
 	s := fleet.New(fleet.Params{
 		Name: a.currentSettings().Name, ElectionKey: elect.Key(t.Pool), Fence: t.Fence, QuietPeriod: a.currentSettings().Bounds.QuietPeriod + quietMargin,
 		SinceBoot: sinceBoot, MinDowntime: a.currentSettings().Bounds.MaintenanceTime, Clock: a.clock, Log: a.log, Policy: a.version.Load, Waves: a.requestedWaves,
-		List: a.store.List, Commit: a.store.Commit, Hosts: a.fleet.Hosts, OrderMove: a.fleet.Move, OrderMaintenance: a.fleet.Maintain,
+		List: a.store.List, Commit: a.writer.Commit, Hosts: a.fleet.Hosts, OrderMove: a.fleet.Move, OrderMaintenance: a.fleet.Maintain,
 		WaveStatus: platform.WaveStatus,
 	})
 	a.addRunner(t, nil, stop)
--- a/agent/jobapi.go
+++ b/agent/jobapi.go
@@ -112,7 +112,7 @@
 func (api *jobAPI) createKey(ctx context.Context, p plat.Put) platform.Answer {
 	begun := api.agent.clock.Now()
 	for ctx.Err() == nil {
-		_, _, err := api.agent.store.Commit(ctx, plat.Txn{Expect: []plat.Condition{{Key: p.Key}}, Puts: []plat.Put{p}})
+		_, _, err := api.agent.writer.Commit(ctx, plat.Txn{Expect: []plat.Condition{{Key: p.Key}}, Puts: []plat.Put{p}})
 		if err == nil || errors.Is(err, plat.ErrConflict) {
 			return platform.Answer{Outcome: platform.Done, Pending: -1}
 		}
--- a/agent/jobapi_test.go
+++ b/agent/jobapi_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -25,8 +26,12 @@
 // serves it if status is 0.
 type testAgent struct {
 	*Agent
-	status      atomic.Int32
+	status atomic.Int32
+	mu     sync.Mutex
+	// createdKeys has the keys that were created; used under mu.
 	createdKeys map[string]bool
+	// answersLost is the number of writes that are carried out next without an answer.
+	answersLost atomic.Int32
 }
 
 func newTestAgent(t *testing.T) *testAgent {
@@ -50,14 +55,26 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	if key := in.Puts[0].Key; r.createdKeys[key] {
+	created := r.create(in.Puts[0].Key)
+	if r.answersLost.Add(-1) >= 0 {
+		<-req.Context().Done()
+		return
+	}
+	if !created {
 		w.WriteHeader(http.StatusPreconditionFailed)
-	} else {
-		r.createdKeys[key] = true
 	}
 	_, _ = w.Write([]byte(`{"Revision":5,"items":[]}`))
 }
 
+// create records a key and reports whether it is new.
+func (r *testAgent) create(key string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.createdKeys[key]
+	r.createdKeys[key] = true
+	return !known
+}
+
 func (r *testAgent) submit() platform.Answer {
 	q := &r.version.Load().Queues[0]
 	return r.jobAPI.submit(context.Background(), q, &steps.Job{ID: "5c0e7a21d94b36f8", Steps: []steps.Step{{Count: 1}}})
@@ -72,6 +89,20 @@
 	require.Len(t, r.createdKeys, 1)
 }
 
+// TestSubmitWithLostAnswers loses the first answers of the write that accepts a job: the
+// caller must hear that it is accepted long before the write's timeout, as it has 3 s for
+// all its tries.
+func TestSubmitWithLostAnswers(t *testing.T) {
+	r := newTestAgent(t)
+	_, err := r.store.Get(context.Background(), "any")
+	require.Error(t, err)
+	r.answersLost.Store(3)
+	begun := time.Now()
+	require.Equal(t, platform.Done, r.submit().Outcome)
+	require.Less(t, time.Since(begun), platform.StoreTimeout/2)
+	require.Len(t, r.createdKeys, 1)
+}
+
 // TestSubmitIsUnknownWithoutStore repeats an accepted job at an entry whose calls
 // the store doesn't serve. The answer must be that the outcome is unknown, at
 // once, and never that the job won't run.
--- a/elect/elect_test.go
+++ b/elect/elect_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -11,10 +12,13 @@
 
 	"github.com/coder/quartz"
 	"github.com/phuslu/log"
+	metrics "github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
 	"shallotpaddle/elect"
 	"shallotpaddle/fakes"
+	"shallotpaddle/hedge"
+	"shallotpaddle/platform"
 )
 
 const ttl = 1500 * time.Millisecond
@@ -33,6 +37,9 @@
 	lastFence    map[string]int64 // by pool
 	faults       []string
 	coresByEntry map[string]float64 // of entries that have not one core
+	// lostCount counts the pools that leaders have lost.
+	lostCount int
+	repeats   bool // overdue writes are repeated
 }
 
 func newElection() *election {
@@ -55,6 +62,7 @@
 func (el *election) lost(name string, t elect.Term) {
 	el.mu.Lock()
 	defer el.mu.Unlock()
+	el.lostCount++
 	delete(el.termsHeld[t.Pool], name)
 }
 
@@ -65,14 +73,22 @@
 	if cores == 0 {
 		cores = 1
 	}
+	store := elect.Store{
+		List: el.kv.List, Watch: el.kv.Watch, Commit: el.kv.Commit, Get: el.kv.Get,
+		Grant: el.kv.Grant, Renew: el.kv.Renew, Revoke: el.kv.Revoke,
+	}
+	if el.repeats {
+		w := hedge.New(hedge.Params{
+			Commit: el.kv.Commit, Grant: el.kv.Grant, Renew: el.kv.Renew, Clock: quartz.NewReal(), Timeout: platform.StoreTimeout,
+			Repeats: metrics.NewCounter(),
+		})
+		store.Commit, store.Grant, store.Renew = w.Commit, w.Grant, w.Renew
+	}
 	e := elect.New(elect.Params{
 		Name: name, Cores: cores, Clock: quartz.NewReal(), SinceBoot: sinceBoot, TTL: ttl, Log: &log.Logger{Writer: log.IOWriter{Writer: io.Discard}},
-		Store: elect.Store{
-			List: el.kv.List, Watch: el.kv.Watch, Commit: el.kv.Commit, Get: el.kv.Get,
-			Grant: el.kv.Grant, Renew: el.kv.Renew, Revoke: el.kv.Revoke,
-		},
-		Won:  func(t elect.Term) { el.won(name, t) },
-		Lost: func(t elect.Term, _ string) { el.lost(name, t) },
+		Store: store,
+		Won:   func(t elect.Term) { el.won(name, t) },
+		Lost:  func(t elect.Term, _ string) { el.lost(name, t) },
 	})
 	go e.Run(ctx)
 	e.SetPools(pools)
@@ -237,3 +253,30 @@
 		synctest.Wait()
 	})
 }
+
+// TestLeadersStayWhileAnswersAreLost replays Bula's day on which the store answered half
+// of the writes, renewals among them, and carried out the others seconds later: leases
+// ended unrenewed, and no owner led for more than a second.
+func TestLeadersStayWhileAnswersAreLost(t *testing.T) {
+	run(t, func(ctx context.Context, t *testing.T, el *election, pools []string) {
+		el.repeats = true
+		random := rand.New(rand.NewPCG(1, 1))
+		var mu sync.Mutex
+		begun := time.Now()
+		el.kv.InjectFault = func(op, _ string) fakes.CallFault {
+			mu.Lock()
+			defer mu.Unlock()
+			write := op == "commit" || op == "grant" || op == "renew"
+			if write && time.Since(begun) > 2*time.Second && random.IntN(2) == 0 {
+				return fakes.DelayCall
+			}
+			return fakes.NoFault
+		}
+		for i := range 6 {
+			el.startEntry(ctx, fmt.Sprint("n", i), pools)
+		}
+		time.Sleep(14 * time.Second)
+		el.leaders(t, pools)
+		require.Zero(t, el.lostCount)
+	})
+}
--- a/owner/model_test.go
+++ b/owner/model_test.go
@@ -221,6 +221,27 @@
 	}
 }
 
+// TestModelLostAnswers does the same while the store leaves half of the writes without an
+// answer, carries out some of them seconds later, and entries repeat them.
+func TestModelLostAnswers(t *testing.T) {
+	for seed := range seeds() / 2 {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			pool := run(t, seed, func(pool *testPool) {
+				pool.repeats = true
+				random, begun := newLockedRand(seed, 3), time.Now()
+				pool.kv.InjectFault = func(op, _ string) fakes.CallFault {
+					if write := op == "commit" || op == "grant" || op == "renew"; !write || time.Since(begun) > 25*time.Second {
+						return fakes.NoFault
+					}
+					return []fakes.CallFault{fakes.NoFault, fakes.NoFault, fakes.DropAnswer, fakes.DelayCall}[random.intN(4)]
+				}
+			})
+			require.Empty(t, pool.workers.Violations())
+			pool.requireJobsEnded(t)
+		})
+	}
+}
+
 // TestModelCrashes does the same with jobs whose first subtask crashes each worker that
 // starts it, and workers that shrink and grow.
 func TestModelCrashes(t *testing.T) {
--- a/owner/pool_test.go
+++ b/owner/pool_test.go
@@ -18,9 +18,11 @@
 
 	"shallotpaddle/elect"
 	"shallotpaddle/fakes"
+	"shallotpaddle/hedge"
 	"shallotpaddle/hosts"
 	"shallotpaddle/owner"
 	"shallotpaddle/plat"
+	"shallotpaddle/platform"
 	"shallotpaddle/runs"
 	"shallotpaddle/steps"
 )
@@ -54,6 +56,8 @@
 	failures map[string]func(ctx context.Context, pool *testPool)
 	// advised makes submitted jobs need tickets of the advisor.
 	advised bool
+	// repeats makes entries repeat overdue writes to the store.
+	repeats bool
 }
 
 // entry is one process that takes part in the pool's election.
@@ -211,6 +215,13 @@
 		},
 		Revoke: pool.kv.Revoke,
 	}
+	if pool.repeats {
+		w := hedge.New(hedge.Params{
+			Commit: store.Commit, Grant: store.Grant, Renew: store.Renew, Clock: quartz.NewReal(), Timeout: platform.StoreTimeout,
+			Repeats: metrics.NewCounter(),
+		})
+		store.Commit, store.Grant, store.Renew = w.Commit, w.Grant, w.Renew
+	}
 	e.elect = elect.New(elect.Params{
 		Name: name, Cores: 1, Store: store, Clock: quartz.NewReal(), Log: pool.log, TTL: 1500 * time.Millisecond,
 		SinceBoot: func() time.Duration { return time.Duration(time.Now().UnixNano()) },
