owner: don't call a worker empty before it has answered

Users saw two long-running subtasks end at once while another member of each step was away (AVAIL): their machine was moved to another pool.

After a takeover, the new owner knows nothing of a worker that has not answered its polls, and took that for a worker without runs. It named the worker in the digest's released ones between two polls, and the fleet controller ordered the move.

A worker now counts as empty only if it has answered this owner, or the takeover is done, by when no lease of an earlier owner is in force. A machine whose worker never answers can thus still be moved or maintained. The fleet controller withdraws a move once the owner has heard of long-running work there, as before.

The new test fails without the change: the digest lists the worker.

--- a/owner/digest.go
+++ b/owner/digest.go
@@ -56,7 +56,7 @@
 	d.DemandCPU = shift.DemandCPU(open, o.arrivingCPU(now))
 	for _, h := range o.hosts {
 		d.Hosts[h.id] = HostLoad{roundUpCPU(h.used.CPU), h.countLongRunning()}
-		if h.releaseTask != 0 && h.isEmpty() {
+		if h.releaseTask != 0 && o.isEmpty(h) {
 			d.Released[h.id] = h.releaseTask
 		}
 	}
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -150,7 +150,7 @@
 	o.reconcileRuns(h, m.report, m.sent, now)
 	o.adjustFillShare(h)
 	o.ackStoredEnds()
-	o.digestDue = o.digestDue || h.releaseTask != 0 && h.isEmpty()
+	o.digestDue = o.digestDue || h.releaseTask != 0 && o.isEmpty(h)
 	h.nextPoll = now.Add(pollGap)
 	switch {
 	case len(h.unacked) > 0:
--- a/owner/release.go
+++ b/owner/release.go
@@ -34,10 +34,11 @@
 	}
 }
 
-// isEmpty reports whether the worker has no runs, no ends to store or acknowledge,
-// and no poll under way.
-func (h *host) isEmpty() bool {
-	return len(h.runs) == 0 && len(h.unacked) == 0 && h.ackable <= h.acked && !h.polling
+// isEmpty reports whether a worker is known to have no runs, no ends to store or
+// acknowledge, and no poll under way. One that has not answered may have runs of an
+// earlier owner until the takeover is done.
+func (o *Owner) isEmpty(h *host) bool {
+	return (h.answered || o.takeoverDone) && len(h.runs) == 0 && len(h.unacked) == 0 && h.ackable <= h.acked && !h.polling
 }
 
 // countLongRunning returns the number of long-running subtasks on the worker.
--- a/owner/release_test.go
+++ b/owner/release_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"testing"
@@ -13,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"shallotpaddle/hosts"
+	"shallotpaddle/plat"
 	"shallotpaddle/runs"
 	"shallotpaddle/steps"
 )
@@ -156,6 +158,31 @@
 	require.NotContains(t, r.hosts, "x", "its entry has yet to be removed")
 }
 
+// AVAIL: a new owner said of a worker that had not answered it yet that it was empty. Its
+// host was moved under the long-running subtasks of the earlier owner.
+func TestUnheardWorkerIsNotEmpty(t *testing.T) {
+	r := newRig(t)
+	r.pollsSince, r.workersKnown = r.clock.Now(), true
+	h := newHost(hosts.Worker{ID: "w"})
+	h.listed, h.releaseTask = true, 9
+	r.hosts[h.id] = h
+	require.Empty(t, r.released(t), "no poll has been answered")
+	r.pollFailed(h, plat.ErrUnknown, r.clock.Now())
+	r.clock.Advance(leaseCap)
+	r.expireLeases(r.clock.Now())
+	require.Empty(t, r.released(t), "the earlier owner's lease may be in force")
+	r.clock.Advance(time.Second)
+	r.expireLeases(r.clock.Now())
+	require.Equal(t, map[string]int64{"w": 9}, r.released(t))
+}
+
+// released returns the workers that the digest lists as empty.
+func (r *rig) released(t *testing.T) map[string]int64 {
+	var d Digest
+	require.NoError(t, json.Unmarshal(r.encodeDigest(), &d))
+	return d.Released
+}
+
 // TestPollWaitOfStartingLongRunning checks that a worker whose long-running subtask has
 // restarted is polled often until it is in service: in a wave, the next one of its step
 // can be stopped then.
