owner: ask for the outcome of a long-running start, don't stop it

After three tries of a start without an answer the owner took the run as not started and stopped it, again and again until the stop was answered. The start had been carried out late, and the run was in service.

A worker refuses a start whose lease is over by its clock. A report from after that time which doesn't list the run therefore tells that the run is not there and can't come any more, and one that lists it confirms the start. The owner now waits for that report instead: the lease of a start ends 2.5 s after it was sent, and three tries take 2.3 s, so a subtask that has not started begins elsewhere about as soon as before. A worker that answers no polls is given up as before. Subtasks that end by themselves are still stopped.

Ruled out: leaving out the stop after a refusal as well.

--- a/owner/act.go
+++ b/owner/act.go
@@ -24,8 +24,8 @@
 	orderRetryDelay = 100 * time.Millisecond
 	// noRoomPause is how long a worker that refused a start gets no others.
 	noRoomPause = 300 * time.Millisecond
-	// maxUnansweredStarts is the number of tries to start a run after which the run
-	// is stopped instead.
+	// maxUnansweredStarts is the number of tries to start a run after which the owner
+	// gives up, see giveUpStart.
 	maxUnansweredStarts = 3
 )
 
@@ -323,20 +323,31 @@
 }
 
 // startUnanswered handles a start that may or may not have been carried out: it
-// schedules a retry, or after maxUnansweredStarts tries stops the run, which also
-// makes the worker refuse a start that arrives later.
+// schedules a retry, or gives up after maxUnansweredStarts tries.
 func (o *Owner) startUnanswered(h *host, p *placement, err error, now time.Time) {
 	o.Stats.Unanswered.Inc(1)
 	o.recordUnanswered(h, p)
 	o.Log.Warn().Str("task", p.task.ID.String()).Int("run", p.run).Str("host", h.id).Int("tries", p.tries).
 		Err(err).Msg("start not answered")
 	if p.tries >= maxUnansweredStarts && !p.stopping {
-		o.stopRun(h, p, "start not answered")
+		o.giveUpStart(h, p)
 		return
 	}
 	p.retryAt = now.Add(orderRetryDelay)
 }
 
+// giveUpStart ends the tries to start a run. It stops the run, which also makes the worker
+// refuse a start that arrives later. A long-running subtask may be in service by then while
+// others of its step are away: it is left to the first report after the lease of the start,
+// see startRuledOut.
+func (o *Owner) giveUpStart(h *host, p *placement) {
+	if p.task.Step.LongRunning {
+		o.Log.Info().Str("task", p.task.ID.String()).Int("run", p.run).Str("host", h.id).Msg("waiting for a report on the run")
+		return
+	}
+	o.stopRun(h, p, "start not answered")
+}
+
 // startRefused handles a start that a worker has refused.
 func (o *Owner) startRefused(h *host, p *placement, err error, now time.Time) {
 	o.Stats.Refused.Inc(1)
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -267,7 +267,14 @@
 		o.reconcileRun(h, v, now)
 	}
 	for id, p := range h.runs {
-		if present[id] == p.run || p.confirmedAt.IsZero() || !p.confirmedAt.Before(sent) {
+		if present[id] == p.run {
+			continue
+		}
+		if p.startRuledOut(r.ClockMs) {
+			o.runVanished(h, p)
+			continue
+		}
+		if p.confirmedAt.IsZero() || !p.confirmedAt.Before(sent) {
 			continue
 		}
 		if p.stopping && (p.stoppedAt.IsZero() || !p.stoppedAt.Before(sent)) {
@@ -277,6 +284,13 @@
 	}
 }
 
+// startRuledOut reports whether a long-running run without an answer to its start can't be
+// active any more, as a report at clockMs of the worker's clock doesn't list it: the worker
+// refuses starts whose lease is over.
+func (p *placement) startRuledOut(clockMs int64) bool {
+	return p.task.Step.LongRunning && p.confirmedAt.IsZero() && !p.stopping && clockMs > p.leaseUntil
+}
+
 // reconcileRun applies the report of one active run.
 func (o *Owner) reconcileRun(h *host, v runs.Running, now time.Time) {
 	if p := h.runs[v.Task]; p != nil && p.run == v.Run {
