owner: acknowledge an end once no unanswered try can start its run again

Callers would see TWICE: a subtask has ended by its second try and its end is acknowledged; the worker restarts under its ID, and the first try, which got no answer, is carried out there 2 to 12 s late, before the owner can make the next incarnation refuse it.

Nothing that an owner can send keeps an incarnation that it has not reached from carrying out the order: neither the token, nor the clock, nor the ended runs outlive the restart. But an end that a worker loses with its restart before it was acknowledged doesn't count. So the end, which is stored as before and lets the job go on, is acknowledged only when no unanswered try of its subtask at this worker can arrive any more. The same for an end as failed, which may have been the last attempt (BUDGET).

Ruled out: faster stops at the next incarnation alone, which only shorten the time in which the start may arrive.

The price is later acknowledgements while starts get no answer; the report then lists these ends again.

Open: a later owner doesn't know of the earlier one's unanswered starts, and acknowledges ends at once. It reaches restarted workers with a higher token, after which they refuse the start.

--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -289,7 +289,7 @@
 	if e.Outcome == runs.Done || e.Outcome == runs.Failed || e.Checkpoint != "" {
 		o.markChanged(&j.doc)
 	}
-	h.unacked = append(h.unacked, pendingAck{e.Number, j, j.version})
+	h.unacked = append(h.unacked, pendingAck{e.Number, j, j.version, o.lateStartUntil(h, t, e)})
 	o.digestDue = o.digestDue || h.releaseTask != 0
 	if t.Phase == steps.Finished {
 		o.stopTask(t)
--- a/owner/latestart_test.go
+++ b/owner/latestart_test.go
@@ -80,3 +80,45 @@
 	pool.t.Fatalf("worker %s is not registered", id)
 	return hosts.Worker{}
 }
+
+// TWICE: a subtask has ended by its second try, and its end is noted. Its worker restarts, and
+// the first try is carried out there before the owner can make the next incarnation refuse
+// it. The end must not have been noted while that is possible.
+func TestLateStartAfterNotedEnd(t *testing.T) {
+	for delay := 2 * time.Second; delay <= 12*time.Second; delay += time.Second {
+		t.Run(delay.String(), func(t *testing.T) { testStartAfterEnd(t, delay) })
+	}
+}
+
+// testStartAfterEnd has the first start of a subtask carried out after a delay. Its worker
+// crashes when the subtask has ended and is back half a second before the start arrives;
+// stops of the run don't reach it.
+func testStartAfterEnd(t *testing.T, delay time.Duration) {
+	task := runs.Task{Job: fmt.Sprintf("%016x", 1)}
+	withoutFaults(t, 3, func(_ context.Context, pool *testPool) {
+		pool.workers.DecideRun = func(runs.Task, int) (time.Duration, runs.Outcome) { return 100 * time.Millisecond, runs.Done }
+		pool.workers.LateOrderDelay = func() time.Duration { return delay }
+		first := make(chan string, 1)
+		pool.workers.InjectFault = func(worker, op string) fakes.CallFault {
+			if op == "stop" {
+				return fakes.DropCall
+			}
+			if op != "start" {
+				return fakes.NoFault
+			}
+			select {
+			case first <- worker:
+				return fakes.DelayCall
+			default:
+				return fakes.NoFault
+			}
+		}
+		pool.submit(&steps.Job{ID: task.Job, Queue: "q", MaxAttempts: 3, Steps: []steps.Step{{Count: 1, CPU: 1000}}})
+		time.Sleep(1500*time.Millisecond - 100*time.Millisecond)
+		worker := pool.registered(pool.lateWorker(first))
+		pool.workers.Crash(worker.ID)
+		time.AfterFunc(delay-1900*time.Millisecond, func() { pool.workers.Join(worker) })
+		time.Sleep(time.Minute)
+		require.Equal(t, steps.Completed, pool.state(task.Job).State, "LOST %s", task)
+	})
+}
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -13,13 +13,18 @@
 )
 
 // pendingAck is an end that may be acknowledged to its worker once the job's record
-// is stored at the version. job is nil if the end belongs to no known job.
+// is stored at the version, and from notBefore on. job is nil if the end belongs to no
+// known job.
 type pendingAck struct {
-	number  int64
-	job     *job
-	version int
+	number    int64
+	job       *job
+	version   int
+	notBefore time.Time
 }
 
+// stored reports whether nothing is lost if the worker forgets the end.
+func (a *pendingAck) stored() bool { return a.job == nil || a.job.stored >= a.version }
+
 // pollResult is the result of a poll: a worker's report or an error.
 type pollResult struct {
 	host   *host
@@ -165,9 +170,9 @@
 	o.digestDue = o.digestDue || h.releaseTask != 0 && o.isEmpty(h)
 	h.nextPoll = now.Add(pollGap)
 	switch {
-	case len(h.unacked) > 0:
+	case h.endsUnstored():
 		h.nextPoll = now.Add(pollGapUnstored)
-	case h.firstWithheld != 0:
+	case h.firstWithheld != 0, len(h.unacked) > 0:
 		h.nextPoll = now.Add(pollGapWithheld)
 	}
 }
@@ -258,8 +263,14 @@
 	}
 }
 
+// endsUnstored reports whether the worker has an end that must not be lost.
+func (h *host) endsUnstored() bool {
+	return slices.ContainsFunc(h.unacked, func(a pendingAck) bool { return !a.stored() })
+}
+
 // ackStoredEnds marks the ends whose records are stored as acknowledgeable.
 func (o *Owner) ackStoredEnds() {
+	now := o.Clock.Now()
 	for _, h := range o.hosts {
 		for len(h.unacked) > 0 {
 			e := h.unacked[0]
@@ -267,7 +278,7 @@
 				h.unacked = nil
 				break
 			}
-			if e.job != nil && e.job.stored < e.version {
+			if !e.stored() || now.Before(e.notBefore) {
 				break
 			}
 			h.ackable = e.number
--- a/owner/unanswered.go
+++ b/owner/unanswered.go
@@ -85,6 +85,21 @@
 	o.unanswered[h.id] = append(o.unanswered[h.id], &unansweredStart{task: p.task, run: p.run, sent: p.startSentAt, to: h.target()})
 }
 
+// lateStartUntil returns until when the worker's next incarnation may start the run of an
+// end: once the end is acknowledged, the subtask must not start again.
+func (o *Owner) lateStartUntil(h *host, t *steps.Task, e runs.End) time.Time {
+	var until time.Time
+	if t.Step.LongRunning || e.Outcome != runs.Done && e.Outcome != runs.Failed {
+		return until
+	}
+	for _, u := range o.unanswered[h.id] {
+		if u.task == t {
+			until = later(until, u.mayArriveUntil())
+		}
+	}
+	return until
+}
+
 // forgetUnanswered drops the starts that can't be carried out any more.
 func (o *Owner) forgetUnanswered(now time.Time) {
 	for id, list := range o.unanswered {
