owner: repeat the stop that blocks an unanswered start soon

Callers would see TWICE: a worker restarts, and the stop that makes the new incarnation refuse an earlier start gets no answer. It was sent again only after the client's time-out of 0.7 s and 0.1 s more, in which the start may arrive; starts, stops and polls are repeated within 0.2 s since, these stops were left out.

They now have the same times. TestUnansweredBlockIsRepeatedSoon failed before.

--- a/owner/latestart_test.go
+++ b/owner/latestart_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -122,3 +123,27 @@
 		require.Equal(t, steps.Completed, pool.state(task.Job).State, "LOST %s", task)
 	})
 }
+
+// TWICE: the stop that makes a restarted worker refuse an unanswered start gets no answer. It is
+// sent again within the time that a worker usually needs, as the start may arrive meanwhile.
+func TestUnansweredBlockIsRepeatedSoon(t *testing.T) {
+	withoutFaults(t, 1, func(_ context.Context, pool *testPool) {
+		var mu sync.Mutex
+		var stops []time.Time
+		pool.workers.InjectFault = func(_, op string) fakes.CallFault {
+			mu.Lock()
+			defer mu.Unlock()
+			if op == "stop" {
+				stops = append(stops, time.Now())
+			}
+			return fakes.DropCall
+		}
+		pool.submit(&steps.Job{ID: fmt.Sprintf("%016x", 1), Queue: "q", MaxAttempts: 3, Steps: []steps.Step{{Count: 1, CPU: 1000, LongRunning: true}}})
+		time.Sleep(8 * time.Second)
+		mu.Lock()
+		defer mu.Unlock()
+		require.Greater(t, len(stops), 2)
+		require.Less(t, stops[1].Sub(stops[0]), 200*time.Millisecond)
+		require.Less(t, stops[2].Sub(stops[1]), 200*time.Millisecond)
+	})
+}
--- a/owner/unanswered.go
+++ b/owner/unanswered.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"context"
 	"errors"
 	"slices"
 	"time"
@@ -59,6 +60,7 @@
 	// blocking tells that a call to block the start is under way, and blocked that the
 	// worker that answers at the address refuses it.
 	blocking, blocked bool
+	blockTries        int
 }
 
 // mayArriveUntil is when the start can't be carried out any more.
@@ -148,11 +150,15 @@
 // to start it.
 func (o *Owner) blockStart(u *unansweredStart) {
 	u.blocking = true
+	u.blockTries++
 	to, s := u.to, runs.Stop{Task: u.task.ID, Run: u.run, Fence: o.Fence}
+	within, pause := answerTimeout(u.blockTries), retryDelay(u.blockTries, orderRetryDelay)
 	go func() {
-		_, err := o.Workers.Stop(o.ctx, to, s)
+		ctx, cancel := context.WithTimeout(o.ctx, within)
+		defer cancel()
+		_, err := o.Workers.Stop(ctx, to, s)
 		if err != nil {
-			o.sleep(o.ctx, orderRetryDelay)
+			o.sleep(o.ctx, pause)
 		}
 		o.post(blockResult{u, err})
 	}()
