owner, fakes: play workers that refuse starts for want of room in the model

Missing was a start that is refused with `room` and still extends the lease of its worker: fakes.WorkerSet.ChecksRoom refuses what doesn't fit a worker that shrinks and grows.

TestModelCatches disables one more safeguard, starts whose lease is longer than the owner counts, and finds it.

--- a/fakes/workerset.go
+++ b/fakes/workerset.go
@@ -35,6 +35,9 @@
 	CrashesWorker func(t runs.Task) bool
 	// MaxLease is the longest lease that a worker accepts.
 	MaxLease time.Duration
+	// ChecksRoom makes workers refuse starts that don't fit. They take the lease from these
+	// as well.
+	ChecksRoom bool
 
 	mu            sync.Mutex
 	workers       map[string]*workerState
@@ -357,6 +360,9 @@
 		return err
 	}
 	step := &j.Steps[s.Task.Step]
+	if ws.ChecksRoom && !w.fits(step) {
+		return runs.ErrNoCapacity
+	}
 	ws.checkStart(w, s, j, step)
 	ws.starts++
 	ws.lastStarts[s.Task] = time.Now()
@@ -388,6 +394,11 @@
 	return nil
 }
 
+// fits reports whether the worker has room for a subtask of the step.
+func (w *workerState) fits(step *steps.Step) bool {
+	return (step.Fills || w.used.CPU+step.CPU <= w.Capacity.CPU) && w.used.Mem+step.Mem <= w.Capacity.Mem && w.used.GPU+step.GPU <= w.Capacity.GPU
+}
+
 // endIfGangIncomplete ends the run of a gang's member if other members have not
 // started.
 func (ws *WorkerSet) endIfGangIncomplete(w *workerState, t runs.Task, r *activeRun) {
--- a/owner/model_test.go
+++ b/owner/model_test.go
@@ -267,6 +267,21 @@
 	}
 }
 
+// TestModelRoom does the same in workers that refuse starts for which they have no room, and
+// take the lease from them.
+func TestModelRoom(t *testing.T) {
+	for seed := range seeds() / 2 {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			pool := run(t, seed, func(pool *testPool) {
+				pool.workers.ChecksRoom = true
+				go pool.resizeWorkers(rand.New(rand.NewPCG(seed, 9)))
+			})
+			require.Empty(t, pool.workers.Violations())
+			pool.requireJobsEnded(t)
+		})
+	}
+}
+
 // crashRegressions are seeds of the runs with crashes that have failed once by chance, with
 // the cause.
 var crashRegressions = []uint64{
@@ -353,6 +368,12 @@
 				return pool.workers.Renew(ctx, to, n)
 			}
 		},
+		"starts that give longer leases than the owner counts": func(pool *testPool) {
+			pool.start = func(ctx context.Context, to runs.Target, s runs.Start) (runs.Reply, error) {
+				s.UntilMs += holdMax.Milliseconds()
+				return pool.workers.Start(ctx, to, s)
+			}
+		},
 		"polls without an answer that count as refused": func(pool *testPool) {
 			pool.failures = map[string]func(context.Context, *testPool){"crash a worker": failures["crash a worker"]}
 			late := newLockedRand(0, 4)
