owner: give watches of slow entries the time of a call after a list that failed

Callers saw MIXED: a queue was said to have 33 jobs that wait while 200 had waited for five seconds.

The owner edge-nadi-1 runs five times slower from 21.2 to 25.8 s, in a peak of 80 new jobs a second. It heard of no job from 21.8 to 27.2 s: its watch has 250 ms while jobs are expected and times out, since the entry is slow, not the store; the list of all jobs that replaces a silent watch is the larger call, and takes longer than its 1.2 s; then the same again, three times ("watch is silent; listing all jobs" with an error at 23.49 and 25.26 s, 716 jobs at 27.17 s). The class: a time-out that is shorter than the slowness of the one who waits, with a recovery that costs more than the try.

After a list that failed, a watch has the time of any call to the store, until one of both succeeds. The store's silent watches are replaced by lists as before.

--- a/owner/owner.go
+++ b/owner/owner.go
@@ -359,8 +359,9 @@
 	// without any is suspect: by chance, that happens once in 150 watches.
 	suspectJobs = 5
 	// watchGrace is how much longer than its wait a watch may take while jobs are
-	// expected.
-	watchGrace = 150 * time.Millisecond
+	// expected, and maxWatchGrace how much longer in an entry that is slow itself.
+	watchGrace    = 150 * time.Millisecond
+	maxWatchGrace = 1200 * time.Millisecond
 	// minWatchWait is the shortest wait of a watch.
 	minWatchWait = 100 * time.Millisecond
 )
@@ -370,10 +371,10 @@
 // Before the store discards its history, watches may hear nothing for a second. A
 // watch that hears nothing while jobs are expected is replaced by a list.
 func (o *Owner) watchJobs(ctx context.Context, rev int64) {
-	prefix := JobPrefix(o.Pool)
+	prefix, grace := JobPrefix(o.Pool), watchGrace
 	for ctx.Err() == nil {
 		wait := o.watchWait()
-		items, next, err := o.watchOnce(ctx, prefix, rev, wait)
+		items, next, err := o.watchOnce(ctx, prefix, rev, wait, grace)
 		switch {
 		case errors.Is(err, plat.ErrCompacted):
 			items, next, err = o.Store.List(ctx, prefix)
@@ -384,11 +385,13 @@
 			o.Log.Info().Str("pool", o.Pool).Int64("rev", rev).Dur("silent", wait).AnErr("cause", watchErr).Err(err).Msg("watch is silent; listing all jobs")
 		}
 		if err != nil {
+			// An entry that is too slow for a list may still be in time for a watch.
+			grace = maxWatchGrace
 			o.Stats.WatchesFailed.Inc(1)
 			o.sleep(ctx, storeRetryDelay)
 			continue
 		}
-		rev = next
+		rev, grace = next, watchGrace
 		if len(items) > 0 {
 			o.awaitProof(ctx)
 			o.post(itemsWritten{items})
@@ -415,10 +418,10 @@
 
 // watchOnce watches once. A store that is about to discard its history doesn't end
 // watches when their wait is over; while jobs are expected, the caller lists them then.
-func (o *Owner) watchOnce(ctx context.Context, prefix string, rev int64, wait time.Duration) ([]plat.Item, int64, error) {
+func (o *Owner) watchOnce(ctx context.Context, prefix string, rev int64, wait, grace time.Duration) ([]plat.Item, int64, error) {
 	if wait < maxWatchWait {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, wait+watchGrace)
+		ctx, cancel = context.WithTimeout(ctx, wait+grace)
 		defer cancel()
 	}
 	return o.Store.Watch(ctx, prefix, rev, wait)
