owner: look through unanswered orders five times a second

After each message, the owner looked through all orders without an answer to drop those that can't be carried out any more. Thousands of these gather within 12 s. In a trial with still more calls, the owner of a pool that had only three open jobs left spent 95 ms of each second in the work that follows messages (advance), of 400 ms that an entry has; scheduling passes took 1 ms of it.

They are now looked through five times a second. Each use of such an order checks its time by itself already, so that one which stays listed for 0.2 s longer only lets an idle worker be polled for that long.

--- a/owner/owner.go
+++ b/owner/owner.go
@@ -135,8 +135,9 @@
 	// lateOrders has the orders without an answer that a later incarnation of a worker might
 	// carry out, by worker ID.
 	lateOrders        map[string][]*lateOrders
-	questionsInFlight int // to the advisor
-	callsInFlight     int // starts and stops
+	forgottenAt       time.Time // when orders were last dropped from the two
+	questionsInFlight int       // to the advisor
+	callsInFlight     int       // starts and stops
 	// trialsWait tells that in the last scheduling pass a subtask that may have crashed a
 	// worker found none to start on.
 	trialsWait bool
@@ -315,7 +316,6 @@
 	}
 	o.checkElection()
 	o.forgetUnanswered(now)
-	o.forgetLateOrders(now)
 	o.retryOrders(now)
 	o.pollHosts(now)
 	o.updateDigest(now)
--- a/owner/unanswered.go
+++ b/owner/unanswered.go
@@ -14,6 +14,10 @@
 // sent.
 const maxOrderDelay = 12 * time.Second
 
+// forgetInterval is how often orders are dropped that can't be carried out any more: there
+// may be thousands of them.
+const forgetInterval = 200 * time.Millisecond
+
 // stopSlack is added to Bounds.StopTime, which the worker measures by its own clock.
 const stopSlack = 20 * time.Millisecond
 
@@ -85,8 +89,13 @@
 	o.unanswered[h.id] = append(o.unanswered[h.id], &unansweredStart{task: p.task, run: p.run, sent: p.startSentAt, to: h.target()})
 }
 
-// forgetUnanswered drops the starts that can't be carried out any more.
+// forgetUnanswered drops the starts and other orders that can't be carried out any more.
 func (o *Owner) forgetUnanswered(now time.Time) {
+	if now.Sub(o.forgottenAt) < forgetInterval {
+		return
+	}
+	o.forgottenAt = now
+	o.forgetLateOrders(now)
 	for id, list := range o.unanswered {
 		list = slices.DeleteFunc(list, func(u *unansweredStart) bool { return now.After(u.mayArriveUntil()) })
 		o.unanswered[id] = list
