owner: make scheduling passes rarer when they take long

With 150 to 300 jobs waiting, one scheduling pass took 1.1 to 1.7 ms, and up to 128 were made in a second, one after nearly each message: 60 to 156 ms of each second, of 400 ms that an entry has (trial on a scratch copy). Answers then waited to be read, and calls that had been answered timed out.

The gap between two passes is now at least 20 times what the last one took, up to 50 ms, so that passes take a twentieth of the time.

--- a/owner/owner.go
+++ b/owner/owner.go
@@ -105,10 +105,11 @@
 	// watchJobs.
 	jobsPerSecond atomic.Uint64
 
-	lastPass        time.Time // time of the last scheduling pass
-	passNeeded      bool      // something changed that may let a subtask start
-	err             error     // ErrDeposed when another owner was elected; ends Run
-	digestCheckedAt time.Time // when the digest was last compared with the published one
+	lastPass        time.Time     // time of the last scheduling pass
+	passTime        time.Duration // that it took
+	passNeeded      bool          // something changed that may let a subtask start
+	err             error         // ErrDeposed when another owner was elected; ends Run
+	digestCheckedAt time.Time     // when the digest was last compared with the published one
 	// publishedDigest is the digest that was last queued for writing.
 	publishedDigest string
 	// workersKnown tells that the registered workers have been listed, and
@@ -216,6 +217,10 @@
 	// minPassGap is the shortest time between two scheduling passes: one pass
 	// serves all ends that arrive close together.
 	minPassGap = 5 * time.Millisecond
+	// passGapFactor is that time in durations of a pass, up to maxBusyPassGap: passes over
+	// hundreds of waiting jobs would take the CPU that calls need.
+	passGapFactor  = 20
+	maxBusyPassGap = 50 * time.Millisecond
 	// maxPassGap is the longest time between two scheduling passes while jobs are
 	// open: some obstacles to a start, such as HeldUntil, end without a message.
 	maxPassGap = 200 * time.Millisecond
@@ -306,12 +311,14 @@
 		o.passNeeded = true
 	}
 	if o.passNeeded {
-		if wait := minPassGap - now.Sub(o.lastPass); wait > 0 {
+		if wait := passGap(o.passTime) - now.Sub(o.lastPass); wait > 0 {
 			next = wait
 		} else {
 			o.passNeeded = false
 			o.lastPass = now
+			begun := o.Clock.Now()
 			o.scheduleStarts(now)
+			o.passTime = o.Clock.Since(begun)
 		}
 	}
 	o.checkElection()
@@ -324,6 +331,11 @@
 	return max(min(next, o.untilNextDue(now)), time.Millisecond)
 }
 
+// passGap returns the time from one scheduling pass to the next, from what the last took.
+func passGap(took time.Duration) time.Duration {
+	return max(minPassGap, min(passGapFactor*took, maxBusyPassGap))
+}
+
 // untilNextDue returns the time until the next occurrence of a scheduled job is
 // due, at most tickInterval, and asks for a scheduling pass if one is due by then.
 func (o *Owner) untilNextDue(now time.Time) time.Duration {
