owner: don't take the answer of a lost worker for that of the next

Callers would see TWICE: a stop that is to block an unanswered start is answered by a worker that is lost before the owner handles the answer. The owner then ended the hold of the subtask, which started again, while the worker's next incarnation had not refused the start and could carry it out. The class: an answer is taken for one of a later time than it is.

A stop that is under way when its worker is lost, or begins to fail, no longer ends a hold: it is sent again. A hold ends up to one answer time later for it.

TestBlockOfFormerIncarnationDoesNotCount failed before. Found by reading, not seen in a play.

--- a/owner/unanswered.go
+++ b/owner/unanswered.go
@@ -63,6 +63,8 @@
 	// blocking tells that a call to block the start is under way, and blocked that the
 	// worker that answers at the address refuses it.
 	blocking, blocked bool
+	// overtaken tells that the call under way may be answered by an incarnation that is gone.
+	overtaken bool
 }
 
 // mayArriveUntil is when the start can't be carried out any more.
@@ -131,7 +133,7 @@
 		if p := h.runs[u.task.ID]; p != nil && p.run == u.run {
 			continue
 		}
-		u.blocked = false
+		u.blocked, u.overtaken = false, u.blocking
 		if !u.blocking && u.mayArriveUntil().After(o.Clock.Now()) {
 			o.blockStart(u)
 		}
@@ -157,7 +159,13 @@
 func (o *Owner) handleBlocked(m blockResult) {
 	u, now := m.start, o.Clock.Now()
 	u.blocking = false
+	overtaken := u.overtaken
+	u.overtaken = false
 	switch {
+	case errors.Is(m.err, runs.ErrFence):
+		o.depose("a worker has heard a higher token")
+	case overtaken && u.mayArriveUntil().After(now):
+		o.blockStart(u)
 	case m.err == nil:
 		// The start may have been carried out before the stop.
 		o.endHold(u, now.Add(o.Bounds.StopTime+stopSlack), "the worker refuses it")
@@ -165,8 +173,6 @@
 		o.endHold(u, now, "the worker refuses it")
 	case errors.Is(m.err, runs.ErrIncarnation):
 		o.endHold(u, now, "another worker answers at the address")
-	case errors.Is(m.err, runs.ErrFence):
-		o.depose("a worker has heard a higher token")
 	case u.mayArriveUntil().After(now):
 		o.blockStart(u)
 	}
--- a/owner/unanswered_test.go
+++ b/owner/unanswered_test.go
@@ -115,3 +115,22 @@
 	r.handlePoll(answer)
 	require.Equal(t, minAnswerTimeout, answerTimeout(h.failedPolls+1))
 }
+
+// TWICE: a worker answers a stop that is to block a start, and restarts before that is known.
+// Its next incarnation has not refused the start, so that the subtask stays held back.
+func TestBlockOfFormerIncarnationDoesNotCount(t *testing.T) {
+	r := newRig(t)
+	h := r.rows[0]
+	h.answered = true
+	p := r.startUnansweredAt(h, false)
+	u := r.unanswered[h.id][0]
+	r.blockStart(u)
+	answer := <-r.inbox
+	r.endIncarnation(h, "another incarnation answers")
+	held := p.task.HeldUntil
+	require.Equal(t, maxOrderDelay, held.Sub(r.clock.Now()))
+	r.handle(answer)
+	require.Equal(t, held, p.task.HeldUntil)
+	r.handle(<-r.inbox) // the next incarnation refuses it
+	require.Equal(t, r.Bounds.StopTime+stopSlack, p.task.HeldUntil.Sub(r.clock.Now()))
+}
