owner: send few calls that block starts while a worker may be up

Callers saw jobs late while half of the calls to workers got no answer.

While the worker may still be up, four of these calls at most are now under way, with the time that other calls have, and none is sent once the same incarnation answers a poll: it refuses the starts by what it has seen. Once the worker is lost, or has an unanswered start of an earlier incarnation, all are sent at once as before. The 12 s for which a subtask is held back don't change.

TestBlocksLeaveConnections fails without the limit (50 calls under way).

--- a/owner/host.go
+++ b/owner/host.go
@@ -343,8 +343,8 @@
 			o.voidRun(p)
 		}
 	}
-	o.blockUnansweredStarts(h)
 	delete(o.hosts, h.id)
+	o.blockUnansweredStarts(h)
 	o.markChanged(o.roster)
 	o.passNeeded = true
 }
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -144,6 +144,7 @@
 	if !h.failingSince.IsZero() {
 		o.Log.Info().Str("pool", o.Pool).Str("host", h.id).Dur("away", now.Sub(h.failingSince)).Msg("worker is answering again")
 		h.failingSince = time.Time{}
+		o.leaveUnblocked(h, now)
 		o.passNeeded = true
 	}
 	if !h.answered {
--- a/owner/unanswered.go
+++ b/owner/unanswered.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"context"
 	"errors"
 	"slices"
 	"time"
@@ -33,6 +34,9 @@
 	// answer: a poll whose answer is lost is found out only when its wait is over.
 	lossyPollWait = 100 * time.Millisecond
 	lossyPeriod   = 5 * time.Second
+	// maxBlocksInDoubt limits the calls under way that block starts at a worker that may be
+	// up: its other calls need connections and CPU too.
+	maxBlocksInDoubt = 4
 )
 
 // answerTimeout returns how long the answer to the given try of a call may take, from 1.
@@ -63,8 +67,13 @@
 	// blocking tells that a call to block the start is under way, and blocked that the
 	// worker that answers at the address refuses it.
 	blocking, blocked bool
+	// toBlock tells that a call to block the start is to be sent, and blockTries counts those
+	// without an answer.
+	toBlock    bool
+	blockTries int
 	// overtaken tells that the call under way may be answered by an incarnation that is gone.
 	overtaken bool
+	born      int64 // start of the incarnation for which it is meant
 }
 
 // mayArriveUntil is when the start can't be carried out any more.
@@ -88,7 +97,7 @@
 			return
 		}
 	}
-	o.unanswered[h.id] = append(o.unanswered[h.id], &unansweredStart{task: p.task, run: p.run, sent: p.startSentAt, to: h.target()})
+	o.unanswered[h.id] = append(o.unanswered[h.id], &unansweredStart{task: p.task, run: p.run, sent: p.startSentAt, to: h.target(), born: h.startedMs})
 }
 
 // forgetUnanswered drops the starts and other orders that can't be carried out any more.
@@ -133,9 +142,41 @@
 		if p := h.runs[u.task.ID]; p != nil && p.run == u.run {
 			continue
 		}
-		u.blocked, u.overtaken = false, u.blocking
-		if !u.blocking && u.mayArriveUntil().After(o.Clock.Now()) {
+		u.blocked, u.toBlock, u.blockTries, u.overtaken = false, true, 0, u.blocking
+	}
+	o.sendBlocks(h.id)
+}
+
+// sendBlocks sends the calls that block starts at a worker. While the worker may be up, only a
+// few are under way at a time.
+func (o *Owner) sendBlocks(worker string) {
+	list, now := o.unanswered[worker], o.Clock.Now()
+	atOnce := maxBlocksInDoubt
+	if h := o.hosts[worker]; h == nil || slices.ContainsFunc(list, func(u *unansweredStart) bool { return u.born != h.startedMs }) {
+		atOnce = len(list)
+	}
+	for _, u := range list {
+		if u.blocking {
+			atOnce--
+		}
+	}
+	for _, u := range list {
+		if atOnce <= 0 {
+			return
+		}
+		if u.toBlock && !u.blocking && u.mayArriveUntil().After(now) {
 			o.blockStart(u)
+			atOnce--
+		}
+	}
+}
+
+// leaveUnblocked takes back the calls that are to block the starts at a worker that is up
+// after all, but for those that hold a subtask back.
+func (o *Owner) leaveUnblocked(h *host, now time.Time) {
+	for _, u := range o.unanswered[h.id] {
+		if u.born == h.startedMs && !u.task.HeldUntil.After(now) {
+			u.toBlock = false
 		}
 	}
 }
@@ -144,9 +185,12 @@
 // to start it.
 func (o *Owner) blockStart(u *unansweredStart) {
 	u.blocking = true
-	to, s := u.to, runs.Stop{Task: u.task.ID, Run: u.run, Fence: o.Fence}
+	u.blockTries++
+	to, s, within := u.to, runs.Stop{Task: u.task.ID, Run: u.run, Fence: o.Fence}, answerTimeout(u.blockTries)
 	go func() {
-		_, err := o.Workers.Stop(o.ctx, to, s)
+		ctx, cancel := context.WithTimeout(o.ctx, within)
+		defer cancel()
+		_, err := o.Workers.Stop(ctx, to, s)
 		if err != nil {
 			o.sleep(o.ctx, orderRetryDelay)
 		}
@@ -155,7 +199,7 @@
 }
 
 // handleBlocked lets a subtask start again if its unanswered start can't be carried out
-// any more, else retries the stop.
+// any more, else retries the stop unless the worker has turned out to be up.
 func (o *Owner) handleBlocked(m blockResult) {
 	u, now := m.start, o.Clock.Now()
 	u.blocking = false
@@ -164,8 +208,7 @@
 	switch {
 	case errors.Is(m.err, runs.ErrFence):
 		o.depose("a worker has heard a higher token")
-	case overtaken && u.mayArriveUntil().After(now):
-		o.blockStart(u)
+	case overtaken:
 	case m.err == nil:
 		// The start may have been carried out before the stop.
 		o.endHold(u, now.Add(o.Bounds.StopTime+stopSlack), "the worker refuses it")
@@ -173,15 +216,14 @@
 		o.endHold(u, now, "the worker refuses it")
 	case errors.Is(m.err, runs.ErrIncarnation):
 		o.endHold(u, now, "another worker answers at the address")
-	case u.mayArriveUntil().After(now):
-		o.blockStart(u)
 	}
+	o.sendBlocks(u.to.ID)
 }
 
 // endHold lets the subtask of a blocked start begin again at the given time, unless another
 // start may still be carried out.
 func (o *Owner) endHold(u *unansweredStart, at time.Time, why string) {
-	u.blocked = true
+	u.blocked, u.toBlock = true, false
 	o.Log.Info().Str("task", u.task.ID.String()).Int("run", u.run).Str("host", u.to.ID).Dur("age", o.Clock.Since(u.sent)).
 		Str("cause", why).Msg("unanswered start can't be carried out any more")
 	for _, other := range o.unanswered[u.to.ID] {
--- a/owner/unanswered_test.go
+++ b/owner/unanswered_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -116,6 +118,50 @@
 	require.Equal(t, minAnswerTimeout, answerTimeout(h.failedPolls+1))
 }
 
+// Callers saw jobs late: each poll without an answer sent a stop for each of hundreds of
+// unanswered starts, which took the connections of the worker's other calls. Only a few are
+// under way while the worker may be up, none further once it has answered, and all once it is
+// lost.
+func TestBlocksLeaveConnections(t *testing.T) {
+	r := newRig(t)
+	h, now := r.rows[0], r.clock.Now()
+	h.answered, h.startedMs = true, 1000
+	var sent atomic.Int32
+	r.Workers.Stop = func(ctx context.Context, _ runs.Target, _ runs.Stop) (runs.Reply, error) {
+		sent.Add(1)
+		<-ctx.Done()
+		return runs.Reply{}, plat.ErrUnknown
+	}
+	const starts = 50
+	for i := range starts {
+		r.recordUnanswered(h, &placement{task: &steps.Task{ID: runs.Task{Job: "k", Index: i}}, run: 1, startSentAt: now})
+	}
+	underWay := func() (n int) {
+		for _, u := range r.unanswered[h.id] {
+			if u.blocking {
+				n++
+			}
+		}
+		return n
+	}
+	r.handlePoll(pollResult{host: h, sent: now, err: plat.ErrUnknown})
+	require.Equal(t, maxBlocksInDoubt, underWay())
+
+	r.handlePoll(pollResult{host: h, sent: now, report: runs.Report{Reply: runs.Reply{StartedMs: 1000}}})
+	for range maxBlocksInDoubt {
+		r.handleBlocked(blockResult{firstBlocking(r.unanswered[h.id]), plat.ErrUnknown})
+	}
+	require.Zero(t, underWay())
+
+	r.endIncarnation(h, "lease is over")
+	require.Equal(t, starts, underWay())
+	require.Eventually(t, func() bool { return sent.Load() == starts+maxBlocksInDoubt }, 10*time.Second, time.Millisecond)
+}
+
+func firstBlocking(list []*unansweredStart) *unansweredStart {
+	return list[slices.IndexFunc(list, func(u *unansweredStart) bool { return u.blocking })]
+}
+
 // TWICE: a worker answers a stop that is to block a start, and restarts before that is known.
 // Its next incarnation has not refused the start, so that the subtask stays held back.
 func TestBlockOfFormerIncarnationDoesNotCount(t *testing.T) {
