owner: repeat calls to a worker that loses calls before they time out

For 5 s after a call without an answer, a start, stop or poll of that worker is made again when its answer is overdue, up to five times within one try, each as a call of its own; the first answer counts. Overdue is three times the usual answer time, at least 20 ms.

A start is idempotent by its run number, and a stop by itself. Each copy of a start counts as an unanswered start unless it was the one that was answered, until 12 s after the last one may have been sent; a refusal doesn't tell that the run is not there if there are other copies. Only the first copy of a poll extends the lease, acknowledges ends and waits, as a repeated poll before: a copy may reach the worker's next incarnation. A worker that leaves two polls with all their copies unanswered gets none.

TestJobsEndSoonWhileOrdersAreLate had 45 to 49 of 60 jobs late without copies in three runs, and none with them.

--- a/owner/act.go
+++ b/owner/act.go
@@ -35,6 +35,7 @@
 	host      *host
 	placement *placement
 	reply     runs.Reply
+	copies    copies
 	err       error
 }
 
@@ -275,12 +276,17 @@
 	if p.job.progress.Job.Advisor != nil {
 		s.Ticket = p.job.adviceOn(p.task.ID.ParentStep()).ticket(h, o.Clock.Now())
 	}
-	to, within := h.target(), answerTimeout(max(p.tries, h.failedPolls))
+	to, delay := h.target(), h.copyDelay(p.startSentAt)
+	within := tryTimeout(max(p.tries, h.failedPolls), delay)
+	p.copiesUntil = time.Time{}
+	if delay > 0 {
+		p.copiesUntil = p.startSentAt.Add(within)
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(o.ctx, within)
 		defer cancel()
-		r, err := o.Workers.Start(ctx, to, s)
-		o.post(startResult{h, p, r, err})
+		r, c, err := callWorker(ctx, o.Clock, 0, delay, func(ctx context.Context, _ int) (runs.Reply, error) { return o.Workers.Start(ctx, to, s) })
+		o.post(startResult{h, p, r, c, err})
 	}()
 }
 
@@ -303,6 +309,11 @@
 	if h.runs[p.task.ID] != p {
 		return // the run has ended or was given up meanwhile
 	}
+	h.noteAnswer(m.copies)
+	if m.copies.sent > 1 {
+		p.copied = true
+		o.recordUnanswered(h, p)
+	}
 	switch {
 	case m.err == nil, errors.Is(m.err, runs.ErrStaleRun):
 		p.observe(m.reply.ClockMs)
@@ -315,7 +326,7 @@
 		o.depose("a worker has heard a higher token")
 	case errors.Is(m.err, runs.ErrIncarnation):
 		o.loseIncarnation(h, "another worker answers at the address")
-	case errors.Is(m.err, plat.ErrUnknown), errors.Is(m.err, plat.ErrUnavailable) && p.tries > 1:
+	case errors.Is(m.err, plat.ErrUnknown), errors.Is(m.err, plat.ErrUnavailable) && p.mayHaveStarted():
 		o.startUnanswered(h, p, m.err, now)
 	default:
 		o.startRefused(h, p, m.err, now)
@@ -362,12 +373,12 @@
 	default:
 		h.noRoomUntil = later(h.noRoomUntil, now.Add(noRoomPause))
 	}
-	if p.tries > 1 && errors.Is(err, runs.ErrLeaseOver) {
+	if p.mayHaveStarted() && errors.Is(err, runs.ErrLeaseOver) {
 		// An earlier try may have arrived before its lease expired; the next poll tells.
 		o.confirmStart(p, now)
 		return
 	}
-	if p.tries > 1 {
+	if p.mayHaveStarted() {
 		// An earlier try may still arrive and start the run, unless the run is stopped.
 		o.stopRun(h, p, "refused after a try without an answer")
 		return
@@ -421,11 +432,12 @@
 	p.inFlight = true
 	o.callsInFlight++
 	p.stopTries++
-	to, s, within := h.target(), runs.Stop{Task: p.task.ID, Run: p.run, Fence: o.Fence}, answerTimeout(max(p.stopTries, h.failedPolls))
+	to, s, delay := h.target(), runs.Stop{Task: p.task.ID, Run: p.run, Fence: o.Fence}, h.copyDelay(o.Clock.Now())
+	within := tryTimeout(max(p.stopTries, h.failedPolls), delay)
 	go func() {
 		ctx, cancel := context.WithTimeout(o.ctx, within)
 		defer cancel()
-		_, err := o.Workers.Stop(ctx, to, s)
+		_, _, err := callWorker(ctx, o.Clock, 0, delay, func(ctx context.Context, _ int) (runs.Reply, error) { return o.Workers.Stop(ctx, to, s) })
 		o.post(stopResult{h, p, err})
 	}()
 }
--- a/owner/host.go
+++ b/owner/host.go
@@ -55,8 +55,9 @@
 	polling, pollAcks bool
 	polledAt          time.Time
 	nextPoll          time.Time
-	failingSince      time.Time // since when polls have failed; zero if they succeed
-	failedPolls       int       // since the last answer that was quick
+	failingSince      time.Time     // since when polls have failed; zero if they succeed
+	failedPolls       int           // since the last answer that was quick
+	answerTime        time.Duration // of its calls, usually
 	// unansweredAt is when a call was last found to have got no answer.
 	unansweredAt time.Time
 	leavingSince time.Time // when the worker was first listed as draining
@@ -94,8 +95,11 @@
 	tries       int // to start the run
 	stopTries   int
 	startSentAt time.Time // when the last try was sent
-	inFlight    bool      // a start or stop is under way
-	announced   bool      // see steps.Task.Announce
+	// copiesUntil is until when further copies of the last try may be sent; zero for none.
+	copiesUntil time.Time
+	copied      bool // a start was sent in several copies
+	inFlight    bool // a start or stop is under way
+	announced   bool // see steps.Task.Announce
 	// share is the share, in percent, at which a filling run works, or shareUnknown.
 	share        int
 	paceInFlight bool      // a call to change share is under way
@@ -104,6 +108,13 @@
 	stoppedAt    time.Time // when the stop was confirmed
 }
 
+// lastSentAt returns when the last start was sent, at the latest.
+func (p *placement) lastSentAt() time.Time { return later(p.startSentAt, p.copiesUntil) }
+
+// mayHaveStarted reports whether another start than the one that was answered last may have
+// been carried out.
+func (p *placement) mayHaveStarted() bool { return p.tries > 1 || p.copied }
+
 const (
 	// maxClockSlowness is the fraction by which a worker's clock may run slow.
 	maxClockSlowness = 0.02
@@ -309,7 +320,7 @@
 // were answered since its last report may have been answered by the next incarnation.
 func (o *Owner) replaceIncarnation(h *host, why string) {
 	for _, p := range h.runs {
-		if p.startSentAt.After(h.lastReport) {
+		if p.lastSentAt().After(h.lastReport) {
 			o.recordUnanswered(h, p)
 		}
 	}
--- a/owner/lateorders_test.go
+++ b/owner/lateorders_test.go
@@ -17,7 +17,20 @@
 // Half of the calls to workers get no answer and are carried out 2 to 12 s late. The jobs
 // accepted meanwhile end in time all the same, but for a few.
 func TestJobsEndWhileOrdersAreLate(t *testing.T) {
-	const jobs, tasks, timely = 60, 6, 4 * time.Second
+	const jobs, timely = 60, 4 * time.Second
+	require.Less(t, lateJobs(t, jobs, timely), jobs/4)
+}
+
+// The same where a start without an answer and an unread end must cost less than a run takes.
+func TestJobsEndSoonWhileOrdersAreLate(t *testing.T) {
+	const jobs, timely = 60, 1200 * time.Millisecond
+	require.Less(t, lateJobs(t, jobs, timely), jobs/4)
+}
+
+// lateJobs submits jobs of subtasks that take 0.6 s, one after the other, while orders are
+// late, and returns the number of those that take longer than timely.
+func lateJobs(t *testing.T, jobs int, timely time.Duration) int {
+	const tasks = 6
 	var late atomic.Int32
 	withoutFaults(t, 6, func(_ context.Context, pool *testPool) {
 		pool.workers.DecideRun = func(runs.Task, int) (time.Duration, runs.Outcome) { return 600 * time.Millisecond, runs.Done }
@@ -36,7 +49,7 @@
 		require.Zero(t, pool.countOpen())
 	})
 	t.Logf("%d of %d jobs were late", late.Load(), jobs)
-	require.Less(t, int(late.Load()), jobs/4)
+	return int(late.Load())
 }
 
 // delayHalfOfOrders leaves half of the orders without an answer for 12 seconds.
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -27,6 +27,7 @@
 	sent   time.Time
 	wait   time.Duration // that the worker was allowed
 	acked  int64         // the highest end acknowledged by the poll
+	copies copies
 	err    error
 }
 
@@ -87,7 +88,7 @@
 		if o.inDoubt {
 			wait = min(wait, doubtPollWait)
 		}
-		if !h.unansweredAt.IsZero() && now.Sub(h.unansweredAt) < lossyPeriod {
+		if h.losesCalls(now) {
 			wait = min(wait, lossyPollWait)
 		}
 		n.WaitMs = int(wait.Milliseconds())
@@ -95,12 +96,19 @@
 	h.polledAt, h.pollAcks = now, n.AckedThrough > 0
 	o.Stats.Polls.Inc(1)
 	to, wait := h.target(), time.Duration(n.WaitMs)*time.Millisecond
-	within := wait + answerTimeout(h.failedPolls+1)
+	delay := h.copyDelay(now)
+	within := wait + tryTimeout(h.failedPolls+1, delay)
 	go func() {
 		ctx, cancel := context.WithTimeout(o.ctx, within)
 		defer cancel()
-		r, err := o.Workers.Renew(ctx, to, n)
-		o.post(pollResult{h, r, now, wait, n.AckedThrough, err})
+		r, c, err := callWorker(ctx, o.Clock, wait, delay, func(ctx context.Context, number int) (runs.Report, error) {
+			if number > 0 {
+				// As after a poll without an answer: no lease, no acknowledgement, no wait.
+				return o.Workers.Renew(ctx, to, runs.Renew{Fence: n.Fence})
+			}
+			return o.Workers.Renew(ctx, to, n)
+		})
+		o.post(pollResult{h, r, now, wait, n.AckedThrough, c, err})
 	}()
 }
 
@@ -122,6 +130,12 @@
 	if o.hosts[h.id] != h {
 		return // the incarnation ended meanwhile
 	}
+	h.noteAnswer(m.copies)
+	if m.copies.answered > 0 {
+		h.unansweredAt = now
+		o.recordLateOrder(h, m.sent, m.acked > 0)
+		m.acked, m.copies = 0, copies{}
+	}
 	if m.err != nil {
 		o.pollFailed(m, now)
 		return
--- a/owner/unanswered.go
+++ b/owner/unanswered.go
@@ -88,16 +88,15 @@
 
 // recordUnanswered records a start without an answer.
 func (o *Owner) recordUnanswered(h *host, p *placement) {
-	o.recordLateOrder(h, p.startSentAt, false)
-
+	o.recordLateOrder(h, p.lastSentAt(), false)
 	h.unansweredAt = o.Clock.Now()
 	for _, u := range o.unanswered[h.id] {
 		if u.task == p.task && u.run == p.run {
-			u.sent, u.blocked = p.startSentAt, false
+			u.sent, u.blocked = p.lastSentAt(), false
 			return
 		}
 	}
-	o.unanswered[h.id] = append(o.unanswered[h.id], &unansweredStart{task: p.task, run: p.run, sent: p.startSentAt, to: h.target(), born: h.startedMs})
+	o.unanswered[h.id] = append(o.unanswered[h.id], &unansweredStart{task: p.task, run: p.run, sent: p.lastSentAt(), to: h.target(), born: h.startedMs})
 }
 
 // forgetUnanswered drops the starts and other orders that can't be carried out any more.
