owner: take all workers to lose calls when a third of them do

Whether a worker loses calls was learned from its own calls only.

If three workers at work or more, and a third of those, have lost calls in the last 5 s and still answer, all workers of the pool are now polled and called as such ones. Workers that don't answer polls tell nothing of the others: they may be down.

TestOthersTellOfLosses fails without the change.

--- a/owner/copies.go
+++ b/owner/copies.go
@@ -27,6 +27,10 @@
 	// maxCopiedFailures is the number of polls without an answer, one after the other, up to
 	// which calls are made more than once: a worker that answers none of these is away.
 	maxCopiedFailures = 1
+	// minLosers and the share of one in losersShare is the number of workers at work that
+	// have lost calls from which the others are taken to lose some as well.
+	minLosers   = 3
+	losersShare = 3
 )
 
 // copyDelay returns the delay of further copies of a call to the worker; 0 for none.
@@ -50,11 +54,34 @@
 	return min(max(answerTimeout(try), minCopyPeriods*delay), maxAnswerTimeout)
 }
 
-// losesCalls reports whether a call to the worker got no answer lately.
-func (h *host) losesCalls(now time.Time) bool {
+// losesCalls reports whether a call to the worker got no answer lately, or calls to many
+// others.
+func (h *host) losesCalls(now time.Time) bool { return h.othersLose || h.hasLost(now) }
+
+// hasLost reports whether a call to the worker got no answer lately.
+func (h *host) hasLost(now time.Time) bool {
 	return !h.unansweredAt.IsZero() && now.Sub(h.unansweredAt) < lossyPeriod
 }
 
+// markLosses notes whether many workers that answer have lost calls. Then the cause lies not
+// with them, and those to come will lose some as well.
+func (o *Owner) markLosses(now time.Time) {
+	lost, up := 0, 0
+	for _, h := range o.hosts {
+		if len(h.runs) == 0 || !h.failingSince.IsZero() {
+			continue
+		}
+		up++
+		if h.hasLost(now) {
+			lost++
+		}
+	}
+	many := lost >= minLosers && lost*losersShare >= up
+	for _, h := range o.hosts {
+		h.othersLose = many
+	}
+}
+
 // copies tells how many times a call was made, which of them was answered, from 0, and how
 // long after it was sent, without its wait at the worker; 0 if that is not known.
 type copies struct {
--- a/owner/copies_test.go
+++ b/owner/copies_test.go
@@ -161,3 +161,42 @@
 		require.True(t, next.noRoomUntil.After(r.Clock.Now()))
 	})
 }
+
+// A worker that has not lost a call yet is called like the others if these have lost some, and
+// like one that loses none if they are away, or only a few have.
+func TestOthersTellOfLosses(t *testing.T) {
+	for name, c := range map[string]struct {
+		losers, away, sound int
+		want                bool
+	}{
+		"none":               {0, 0, 9, false},
+		"a third":            {3, 0, 6, true},
+		"fewer":              {3, 0, 7, false},
+		"two of three":       {2, 0, 1, false},
+		"all but one":        {8, 0, 1, true},
+		"the others are out": {0, 8, 1, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			now := r.clock.Now()
+			busy := r.rows[0].runs
+			clear(r.hosts)
+			for i := range c.losers + c.away + c.sound {
+				h := newHost(hosts.Worker{ID: fmt.Sprint(i)})
+				h.runs, r.hosts[h.id] = busy, h
+				if i < c.losers+c.away {
+					h.unansweredAt = now
+				}
+				if i >= c.losers && i < c.losers+c.away {
+					h.failingSince = now
+				}
+			}
+			idle := newHost(hosts.Worker{ID: "new"})
+			r.hosts[idle.id] = idle
+			r.markLosses(now)
+			require.Equal(t, c.want, idle.losesCalls(now))
+			r.markLosses(now.Add(lossyPeriod))
+			require.False(t, idle.losesCalls(now.Add(lossyPeriod)))
+		})
+	}
+}
--- a/owner/host.go
+++ b/owner/host.go
@@ -60,6 +60,7 @@
 	answerTime        time.Duration // of its calls, usually
 	// unansweredAt is when a call was last found to have got no answer.
 	unansweredAt time.Time
+	othersLose   bool      // many other workers have lost calls lately
 	leavingSince time.Time // when the worker was first listed as draining
 	// noRoomUntil is the time before which the worker gets no starts: it has refused one, or
 	// orders to an earlier incarnation may be carried out there.
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -50,6 +50,7 @@
 
 // pollHosts polls the workers that are due.
 func (o *Owner) pollHosts(now time.Time) {
+	o.markLosses(now)
 	for _, h := range o.hosts {
 		h.awaitsStarts = len(o.unanswered[h.id]) > 0
 		h.proofDue = o.inDoubt && now.Sub(h.clockAt) >= doubtPollInterval
