agent: accept a job for one pool only

Callers would see TWICE: a job is handed in again after its queue was given to another pool, or the first try, of the pool before, is carried out late. The second one was stored for the new pool, and both owners run it, under the same run numbers. Requests for a state look into every pool, so that nobody hears of the second. The class: an order whose outcome isn't known is taken as not done.

A job is now stored on condition that no pool of the configuration has it, so that a repeated hand-in finds the first, and the first finds a repeated one that came before it.

agent.TestSubmitAgainAfterQueueChangedPool failed before (keys in p and p2) and holds. The stand-in of the store in agent's tests now looks at the conditions of a write; before, it took the written key for its only one.

--- a/agent/jobapi.go
+++ b/agent/jobapi.go
@@ -76,7 +76,7 @@
 		api.agent.log.Error().Str("job", j.ID).Err(err).Msg("job cannot be encoded")
 		return platform.Answer{Outcome: platform.Invalid}
 	}
-	a := api.createKey(ctx, plat.Put{Key: owner.JobKey(q.Pool, j.ID), Value: value})
+	a := api.createKey(ctx, plat.Put{Key: owner.JobKey(q.Pool, j.ID), Value: value}, api.otherJobKeys(q.Pool, j.ID)...)
 	took := api.agent.clock.Since(begun)
 	api.acceptTime.Update(took.Microseconds())
 	api.countOutcome(a.Outcome)
@@ -105,14 +105,30 @@
 	}
 }
 
-// createKey writes a key unless it exists, and retries until createTimeout. A key
-// that exists was written by an earlier try and counts as success. If no try is
-// answered, the outcome is unknown, never refused, as the request may repeat one
-// that was accepted.
-func (api *jobAPI) createKey(ctx context.Context, p plat.Put) platform.Answer {
+// otherJobKeys returns the keys under which a job may have been accepted for a pool
+// that its queue no longer uses, for as many pools as a write can have conditions.
+func (api *jobAPI) otherJobKeys(pool, id string) []string {
+	var keys []string
+	for _, p := range api.agent.version.Load().Pools {
+		if p.Name != pool && len(keys) < platform.MaxChanges-2 {
+			keys = append(keys, owner.JobKey(p.Name, id))
+		}
+	}
+	return keys
+}
+
+// createKey writes a key unless it or one of the others exists, and retries until
+// createTimeout. A key that exists was written by an earlier try and counts as
+// success. If no try is answered, the outcome is unknown, never refused, as the
+// request may repeat one that was accepted.
+func (api *jobAPI) createKey(ctx context.Context, p plat.Put, others ...string) platform.Answer {
 	begun := api.agent.clock.Now()
+	absent := []plat.Condition{{Key: p.Key}}
+	for _, key := range others {
+		absent = append(absent, plat.Condition{Key: key})
+	}
 	for ctx.Err() == nil {
-		_, _, err := api.agent.writer.Commit(ctx, plat.Txn{Expect: []plat.Condition{{Key: p.Key}}, Puts: []plat.Put{p}})
+		_, _, err := api.agent.writer.Commit(ctx, plat.Txn{Expect: absent, Puts: []plat.Put{p}})
 		if err == nil || errors.Is(err, plat.ErrConflict) {
 			return platform.Answer{Outcome: platform.Done, Pending: -1}
 		}
--- a/agent/jobapi_test.go
+++ b/agent/jobapi_test.go
@@ -50,12 +50,16 @@
 		w.WriteHeader(s)
 		return
 	}
-	var in struct{ Puts []struct{ Key string } }
+	var in struct{ Expect, Puts []struct{ Key string } }
 	if req.Method != http.MethodPost || json.NewDecoder(req.Body).Decode(&in) != nil {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	created := r.create(in.Puts[0].Key)
+	absent := make([]string, 0, len(in.Expect))
+	for _, c := range in.Expect {
+		absent = append(absent, c.Key)
+	}
+	created := r.create(in.Puts[0].Key, absent)
 	if r.answersLost.Add(-1) >= 0 {
 		<-req.Context().Done()
 		return
@@ -66,13 +70,18 @@
 	_, _ = w.Write([]byte(`{"Revision":5,"items":[]}`))
 }
 
-// create records a key and reports whether it is new.
-func (r *testAgent) create(key string) bool {
+// create records a key and reports true, unless one of the keys that must be absent
+// exists.
+func (r *testAgent) create(key string, absent []string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	known := r.createdKeys[key]
+	for _, k := range absent {
+		if r.createdKeys[k] {
+			return false
+		}
+	}
 	r.createdKeys[key] = true
-	return !known
+	return true
 }
 
 func (r *testAgent) submit() platform.Answer {
