owner: start a gang with members of one occurrence only

Callers would see GANG: a job with a gang is due again while a member of the gang before waits, as its worker was lost, and another is still listed as running. The list of subtasks that may start was cut into gangs by step and count alone, so that a gang had members of both occurrences. Each of them waits for the others of its own, and ends alone.

owner.TestGangHasMembersOfOneOccurrence failed before (one member of each occurrence) and holds.

--- a/owner/gang.go
+++ b/owner/gang.go
@@ -12,7 +12,7 @@
 func (o *Owner) scheduleGangs(j *job, ready []*steps.Task, cands []pack.Worker, candHosts []*host, now time.Time) {
 	for len(ready) > 0 {
 		peers := ready[0].Siblings()
-		if len(ready) < len(peers) || ready[len(peers)-1].ID.Step != ready[0].ID.Step {
+		if len(ready) < len(peers) || ready[len(peers)-1].ID.ParentStep() != ready[0].ID.ParentStep() {
 			ready = skipStep(ready)
 			continue
 		}
