elect: take no leadership by a claim whose lease has ended

Callers would see TWICE: a claim is carried out, its answer is on the way, the lease ends unrenewed, and the entry opens another one, all within the 1.2 s that a write may take. The answer then made the entry leader by a key that was gone. The watch does not help, as it told of the key's end before the entry counted as leader. Without another entry, the pool has no leader's key until the store refuses the owner's first write. The class: an answer is taken for valid after the permission has run out.

A claim now counts only if the entry still has the lease with which it was made.

--- a/elect/claim.go
+++ b/elect/claim.go
@@ -133,7 +133,7 @@
 		if err != nil {
 			e.pause(ctx)
 		}
-		e.send(ctx, claimEnded{pool, t.number + 1, rev, err})
+		e.send(ctx, claimEnded{pool, lease, t.number + 1, rev, err})
 	}()
 }
 
@@ -160,8 +160,8 @@
 		e.Log.Info().Str("pool", m.pool).Err(m.err).Msg("claiming leadership failed")
 		return
 	}
-	if e.resigned {
-		return
+	if e.resigned || m.lease != e.lease {
+		return // the key has ended with the lease; a new one proves nothing of it
 	}
 	if l, ok := e.leaders[m.pool]; ok && l.rev > m.rev {
 		return
--- a/elect/elect.go
+++ b/elect/elect.go
@@ -166,10 +166,11 @@
 		err  error
 	}
 	claimEnded struct {
-		pool string
-		term int
-		rev  int64
-		err  error
+		pool  string
+		lease int64 // of the claim
+		term  int
+		rev   int64
+		err   error
 	}
 )
 
--- a/elect/elect_test.go
+++ b/elect/elect_test.go
@@ -18,6 +18,7 @@
 	"shallotpaddle/elect"
 	"shallotpaddle/fakes"
 	"shallotpaddle/hedge"
+	"shallotpaddle/plat"
 	"shallotpaddle/platform"
 )
 
@@ -39,16 +40,22 @@
 	coresByEntry map[string]float64 // of entries that have not one core
 	// lostCount counts the pools that leaders have lost.
 	lostCount int
+	wonCount  int
 	repeats   bool // overdue writes are repeated
+	// commit is the electors' call to write to the store.
+	commit func(ctx context.Context, t plat.Txn) (int64, []plat.Item, error)
 }
 
 func newElection() *election {
-	return &election{kv: fakes.NewKV(), termsHeld: map[string]map[string]elect.Term{}, lastFence: map[string]int64{}}
+	el := &election{kv: fakes.NewKV(), termsHeld: map[string]map[string]elect.Term{}, lastFence: map[string]int64{}}
+	el.commit = el.kv.Commit
+	return el
 }
 
 func (el *election) won(name string, t elect.Term) {
 	el.mu.Lock()
 	defer el.mu.Unlock()
+	el.wonCount++
 	if t.Fence <= el.lastFence[t.Pool] {
 		el.faults = append(el.faults, fmt.Sprintf("%s: token %d after %d", t.Pool, t.Fence, el.lastFence[t.Pool]))
 	}
@@ -74,12 +81,12 @@
 		cores = 1
 	}
 	store := elect.Store{
-		List: el.kv.List, Watch: el.kv.Watch, Commit: el.kv.Commit, Get: el.kv.Get,
+		List: el.kv.List, Watch: el.kv.Watch, Commit: el.commit, Get: el.kv.Get,
 		Grant: el.kv.Grant, Renew: el.kv.Renew, Revoke: el.kv.Revoke,
 	}
 	if el.repeats {
 		w := hedge.New(hedge.Params{
-			Commit: el.kv.Commit, Grant: el.kv.Grant, Renew: el.kv.Renew, Clock: quartz.NewReal(), Timeout: platform.StoreTimeout,
+			Commit: el.commit, Grant: el.kv.Grant, Renew: el.kv.Renew, Clock: quartz.NewReal(), Timeout: platform.StoreTimeout,
 			Repeats: metrics.NewCounter(),
 		})
 		store.Commit, store.Grant, store.Renew = w.Commit, w.Grant, w.Renew
