elect: register again when the entry's key ends before its lease

Callers would see LOST: an entry is killed and starts again while the store carries out writes 1 to 6 s late. A copy of its earlier registration is carried out after the new one, as registrations have no condition, and puts the entry's key back under the lease of before. The key ends with that lease, and the entry, which goes on renewing its new lease, is no candidate for any pool from then on. If it is the last one, no pool has a leader. The class: an order is carried out when it no longer holds.

An entry whose key the watch has not shown for the time of a lease now writes it again.

elect.TestEntryRegistersAgainWhenItsKeyEnds failed before (no leader) and holds; two runs of elect's tests pass.

--- a/elect/elect.go
+++ b/elect/elect.go
@@ -75,10 +75,11 @@
 	lease    int64 // 0 without one
 	// registeredAt is when the current lease was granted.
 	registeredAt time.Time
+	keyWrittenAt time.Time // when the entry's key was last written
 	renewedAt    time.Time
 	// provenUntil is until when the lease certainly lasts, by SinceBoot; read by Proven.
 	provenUntil atomic.Int64
-	granting    bool // a request for a lease is under way
+	granting    bool // a request for a lease, or a registration, is under way
 	renewing    bool // a renewal of the lease is under way
 
 	pools        []string
@@ -155,6 +156,7 @@
 		sent  time.Duration // by SinceBoot
 		err   error
 	}
+	registered   struct{ err error }
 	leaseRenewed struct {
 		lease int64
 		at    time.Time
@@ -221,6 +223,9 @@
 		e.applyChanges(m)
 	case leaseGranted:
 		e.onLeaseGranted(ctx, m)
+	case registered:
+		e.granting, e.keyWrittenAt = false, e.Clock.Now()
+		e.Log.Info().Err(m.err).Msg("entry registered again")
 	case leaseRenewed:
 		e.onLeaseRenewed(m)
 	case claimEnded:
@@ -371,6 +376,14 @@
 			}
 			e.send(ctx, leaseGranted{id, sent, err})
 		}()
+	case e.lease != 0 && !e.granting && e.unregistered(now):
+		// A copy of an earlier registration was carried out late, under a lease that
+		// has ended since.
+		e.granting = true
+		id := e.lease
+		go func() {
+			e.send(ctx, registered{e.register(ctx, id)})
+		}()
 	case e.lease != 0 && !e.renewing && now.Sub(e.renewedAt) >= e.TTL/renewalsPerTTL:
 		e.renewing = true
 		id := e.lease
@@ -385,6 +398,13 @@
 	}
 }
 
+// unregistered reports whether the entry's key has ended although its lease has not. The
+// watch may tell late that the key is there.
+func (e *Elector) unregistered(now time.Time) bool {
+	_, known := e.coresByEntry[e.Name]
+	return e.synced && !known && now.Sub(e.keyWrittenAt) >= e.TTL
+}
+
 // entryValue is the value of an entry's key.
 type entryValue struct {
 	Cores float64 `json:"cores"`
@@ -416,7 +436,7 @@
 		e.Log.Warn().Err(m.err).Msg("requesting a lease failed")
 		return
 	}
-	e.lease, e.registeredAt, e.renewedAt = m.lease, e.Clock.Now(), e.Clock.Now()
+	e.lease, e.registeredAt, e.keyWrittenAt, e.renewedAt = m.lease, e.Clock.Now(), e.Clock.Now(), e.Clock.Now()
 	e.prove(m.sent)
 	e.Log.Info().Int64("lease", m.lease).Dur("ttl", e.TTL).Msg("entry registered")
 }
