owner: tell restarted workers the token while former owners' orders may come

The class: a permission that has run out, acted on by one that can't know.

For 13 s after its first polls, the time in which an order of an earlier owner may be carried out, an owner polls idle workers every 250 ms, so that it notices a restart, and sends its token to the addresses of workers that it has given up or that went away, until something answers there. What remains are the 100 to 150 ms between two tries, and workers that the former owner had removed from the roster.

Ruled out: polls that wait, as for the owner's own unanswered starts.

--- /dev/null
+++ b/owner/former.go
@@ -0,0 +1,45 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"shallotpaddle/runs"
+)
+
+const (
+	// formerPeriod is how long after this owner's first polls an order of an earlier one may
+	// be carried out: that one may hear of its end later.
+	formerPeriod = maxOrderDelay + time.Second
+	// formerPollInterval is how often idle workers are polled meanwhile. These polls don't
+	// wait, as a worker that is polled does not count as empty.
+	formerPollInterval = 250 * time.Millisecond
+)
+
+// formerOrdersMayCome reports whether orders of an earlier owner may still be carried out by
+// an incarnation that has not seen this owner's token.
+func (o *Owner) formerOrdersMayCome(now time.Time) bool {
+	return o.Term > 1 && now.Sub(o.pollsSince) < formerPeriod
+}
+
+// announceTokenAt tells whatever answers next at the address of a lost worker this owner's
+// token as soon as it is up, while an order of an earlier owner may be carried out there. The
+// worker may be registered only later.
+func (o *Owner) announceTokenAt(h *host) {
+	if !o.formerOrdersMayCome(o.Clock.Now()) {
+		return
+	}
+	to := h.target()
+	go func() {
+		for o.ctx.Err() == nil && o.formerOrdersMayCome(o.Clock.Now()) {
+			ctx, cancel := context.WithTimeout(o.ctx, minAnswerTimeout)
+			_, err := o.Workers.Renew(ctx, to, runs.Renew{Fence: o.Fence})
+			cancel()
+			if err == nil || errors.Is(err, runs.ErrIncarnation) || errors.Is(err, runs.ErrFence) {
+				return
+			}
+			o.sleep(o.ctx, orderRetryDelay)
+		}
+	}()
+}
--- a/owner/host.go
+++ b/owner/host.go
@@ -48,7 +48,8 @@
 	// awaitsStarts is true while starts without an answer may still be carried out: the
 	// worker is polled, so that a restart is noticed before they are.
 	awaitsStarts bool
-	// proofDue is true if the worker is to be asked whether it has seen a later owner.
+	// proofDue is true if the worker is to be asked whether it has seen a later owner, or
+	// has started again while orders of an earlier one may be carried out.
 	proofDue bool
 	// polling tells that a poll is under way, polledAt when the last one was sent, and
 	// pollAcks whether it acknowledges ends.
@@ -395,6 +396,7 @@
 		switch {
 		case h.answered && !h.listed && len(h.runs) == 0:
 			o.endIncarnation(h, "not registered and idle")
+			o.announceTokenAt(h)
 		case h.answered && h.failingSince.IsZero():
 		case h.leaseExpired(now, o.pollsSince):
 			if h.listed && h.answered && !h.leaseExpired(now.Add(-unreachableGrace), o.pollsSince) {
@@ -409,6 +411,7 @@
 			}
 			o.endsUnread = o.endsUnread || !h.answered
 			o.loseIncarnation(h, "lease is over")
+			o.announceTokenAt(h)
 		}
 	}
 	if !o.takeoverDone && o.workersKnown {
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -51,7 +51,7 @@
 func (o *Owner) pollHosts(now time.Time) {
 	for _, h := range o.hosts {
 		h.awaitsStarts = len(o.unanswered[h.id]) > 0
-		h.proofDue = o.inDoubt && now.Sub(h.clockAt) >= doubtPollInterval
+		h.proofDue = o.inDoubt && now.Sub(h.clockAt) >= doubtPollInterval || o.formerOrdersMayCome(now) && now.Sub(h.clockAt) >= formerPollInterval
 		if h.pollDue(now) {
 			o.poll(h, now)
 		}
