owner: ask for a successor after a suspension before giving orders

Callers would see TWICE: an owner is suspended for longer than its election lasts, and goes on. Its first round starts what waited, with a lease of 2.5 s from then on, and renews leases, before any worker has told it of its successor. The successor takes leases to be over 4.2 s after its first polls, since the former owner "gave none since the first poll was sent", and starts the same subtask elsewhere if it can't reach the worker of that start. Suspended for 3.6 s: the lease ends after 6.1 s, the successor starts elsewhere 5.4 to 6.3 s after the suspension began.

If a second has passed between two rounds of the loop, and the election is not certainly in force, the owner gives neither starts nor leases for half a second, in which it polls all workers.

owner.TestThawedOwnerAsksBeforeItStarts failed before (a start is sent) and holds; owner's tests pass.

--- a/owner/owner.go
+++ b/owner/owner.go
@@ -142,6 +142,9 @@
 	trialsWait bool
 	// inDoubt tells that a later owner may have been elected.
 	inDoubt bool
+	// advancedAt is when the loop last did what is due. Until ordersFrom, it gives neither
+	// starts nor leases.
+	advancedAt, ordersFrom time.Time
 	// restartsWait tells that in the last scheduling pass a subtask waited until its record
 	// is stored.
 	restartsWait bool
@@ -297,6 +300,7 @@
 // advance does all work that is due at now, and returns the time until it must be
 // called again.
 func (o *Owner) advance(now time.Time) time.Duration {
+	o.checkSuspension(now)
 	o.expireLeases(now)
 	o.stopLeaving(now)
 	o.stopOnReleased(now)
@@ -305,7 +309,7 @@
 		o.passNeeded = true
 	}
 	if o.passNeeded {
-		if wait := minPassGap - now.Sub(o.lastPass); wait > 0 {
+		if wait := max(minPassGap-now.Sub(o.lastPass), o.ordersFrom.Sub(now)); wait > 0 {
 			next = wait
 		} else {
 			o.passNeeded = false
@@ -324,6 +328,21 @@
 	return max(min(next, o.untilNextDue(now)), time.Millisecond)
 }
 
+// suspendedFor is the time between two rounds of the loop from which on the entry counts as
+// having been suspended.
+const suspendedFor = time.Second
+
+// checkSuspension makes an owner that was suspended, and may have been replaced meanwhile, ask
+// the workers for a successor before it gives starts or leases: the successor may have given up
+// a worker that it can't reach.
+func (o *Owner) checkSuspension(now time.Time) {
+	if !o.advancedAt.IsZero() && now.Sub(o.advancedAt) >= suspendedFor && !o.Proven() {
+		o.ordersFrom = now.Add(doubtPollInterval)
+		o.Log.Warn().Str("pool", o.Pool).Dur("gap", now.Sub(o.advancedAt)).Msg("owner was suspended; asking the workers for a successor")
+	}
+	o.advancedAt = now
+}
+
 // untilNextDue returns the time until the next occurrence of a scheduled job is
 // due, at most tickInterval, and asks for a scheduling pass if one is due by then.
 func (o *Owner) untilNextDue(now time.Time) time.Duration {
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -68,7 +68,7 @@
 		// owner has read.
 		n.AckedThrough = h.ackable
 	}
-	if h.answered && h.failingSince.IsZero() && len(h.runs) > 0 {
+	if h.answered && h.failingSince.IsZero() && len(h.runs) > 0 && !now.Before(o.ordersFrom) {
 		// The lease of a worker that does not answer is not extended: otherwise each
 		// poll would postpone the time at which it expires.
 		n.UntilMs = h.workerClock(now) + o.leaseLength().Milliseconds()
