--- a/owner/poll.go
+++ b/owner/poll.go
@@ -58,7 +58,7 @@
 	o.markLosses(now)
 	for _, h := range o.hosts {
 		h.awaitsStarts = len(o.unanswered[h.id]) > 0
-		h.proofDue = o.inDoubt && now.Sub(h.clockAt) >= doubtPollInterval
+		h.proofDue = o.inDoubt && now.Sub(h.clockAt) >= doubtPollInterval || o.formerOrdersMayCome(now) && now.Sub(h.clockAt) >= formerPollInterval
 		if h.pollDue(now) {
 			o.poll(h, now)
 		}
@@ -75,7 +75,7 @@
 		// owner has read.
 		n.AckedThrough = h.ackable
 	}
-	if h.answered && h.failingSince.IsZero() && len(h.runs) > 0 {
+	if h.answered && h.failingSince.IsZero() && len(h.runs) > 0 && !now.Before(o.ordersFrom) {
 		// The lease of a worker that does not answer is not extended: otherwise each
 		// poll would postpone the time at which it expires.
 		n.UntilMs = h.workerClock(now) + o.leaseLength().Milliseconds()
