owner: start no subtask while a stray run of it is being stopped

Callers would see TWICE: a late start brings an earlier run of a subtask to work while the subtask waits for its next one. The owner stopped the earlier run and started the next one elsewhere at the same time, up to StopMs before the former had ended, or longer if the stop got no answer.

--- a/owner/act.go
+++ b/owner/act.go
@@ -61,7 +61,7 @@
 				culprit = t
 				return false
 			}
-			if now.Before(t.HeldUntil) {
+			if now.Before(t.HeldUntil) || o.strays[t] > 0 {
 				return true
 			}
 			if !o.voidEarlierRuns(j, t) {
--- a/owner/host.go
+++ b/owner/host.go
@@ -108,6 +108,8 @@
 	retryAt      time.Time // of a start or stop without an answer; zero for none
 	stopping     bool
 	stoppedAt    time.Time // when the stop was confirmed
+	// stray tells that the run was not the current one of its subtask when a worker listed it.
+	stray bool
 }
 
 // lastSentAt returns when the last start was sent, at the latest.
@@ -380,6 +382,7 @@
 		return
 	}
 	delete(h.runs, p.task.ID)
+	o.forgetStray(p)
 	s := p.task.Step
 	if !s.Fills {
 		h.used.CPU -= s.CPU
@@ -389,6 +392,18 @@
 	p.job.activeTasks--
 }
 
+// forgetStray lets the subtask of a run that was not current start again, once the run has
+// ended.
+func (o *Owner) forgetStray(p *placement) {
+	if !p.stray {
+		return
+	}
+	if o.strays[p.task]--; o.strays[p.task] == 0 {
+		delete(o.strays, p.task)
+	}
+	o.passNeeded = true
+}
+
 // reserveRoom adds a run to a worker and reserves its resources.
 func (o *Owner) reserveRoom(h *host, p *placement) {
 	h.runs[p.task.ID] = p
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -152,6 +152,8 @@
 	restartsWait bool
 	// trialHosts has the worker on which each subtask starts whose trial is announced.
 	trialHosts map[*steps.Task]*host
+	// strays counts the runs of each subtask that are being stopped as they are not current.
+	strays map[*steps.Task]int
 	// forecasts predict run times from past ones, by queue.
 	forecasts map[string]*pack.Forecast
 }
@@ -164,7 +166,7 @@
 func New(p Params) *Owner {
 	o := &Owner{
 		Params: p, inbox: make(chan any, inboxSize), done: make(chan struct{}), hosts: map[string]*host{}, jobs: map[string]*job{},
-		cancelRequests: map[string]struct{}{}, forecasts: map[string]*pack.Forecast{}, inflows: map[string]*shift.Inflow{}, unanswered: map[string][]*unansweredStart{}, lateOrders: map[string][]*lateOrders{}, trialHosts: map[*steps.Task]*host{},
+		cancelRequests: map[string]struct{}{}, forecasts: map[string]*pack.Forecast{}, inflows: map[string]*shift.Inflow{}, unanswered: map[string][]*unansweredStart{}, lateOrders: map[string][]*lateOrders{}, trialHosts: map[*steps.Task]*host{}, strays: map[*steps.Task]int{},
 	}
 	o.roster = &doc{key: rosterKey(p.Pool), encode: o.encodeRoster}
 	o.digest = &doc{key: DigestKey(p.Pool), encode: o.encodeDigest}
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -392,6 +392,8 @@
 	}
 	o.Log.Warn().Str("task", v.Task.String()).Int("run", v.Run).Str("host", h.id).Int64("born", h.startedMs).Int("current", t.Run).
 		Str("currentHost", t.WorkerID).Msg("worker reports a run that is not current; stopping it")
+	p.stray = true
+	o.strays[t]++
 	o.stopRun(h, p, "stray run")
 }
 
