owner: wait for leases that a former owner's orders gave a restarted worker

Callers would see TWICE or LOST: a poll of an owner that is lost then is carried out by the next incarnation of its worker, before the successor has reached that. Its time is far ahead of a clock that starts anew, so that the worker gives its longest lease, while the successor counted on the longest that owners give, 4 s, and started the subtasks of the worker elsewhere once it was cut off.

--- a/owner/host.go
+++ b/owner/host.go
@@ -68,8 +68,12 @@
 	noRoomUntil time.Time
 	// lateLeases is until when an order to an earlier incarnation may extend the lease.
 	lateLeases time.Time
-	health     pack.Health
-	unhealthy  bool // as of the last scheduling pass
+	// formerLease tells that the incarnation was found while an order of an earlier owner to
+	// the one before could be carried out, and may have extended the lease until this
+	// owner's first call.
+	formerLease bool
+	health      pack.Health
+	unhealthy   bool // as of the last scheduling pass
 	// fillShare is the share, in percent, at which filling (best-effort) subtasks may
 	// run.
 	fillShare int
--- a/owner/late.go
+++ b/owner/late.go
@@ -37,6 +37,7 @@
 // that may still be carried out there: it gets no work while its ends may be dropped
 // unread, and its lease may be longer than this owner has given.
 func (o *Owner) inheritLateOrders(h *host) {
+	h.formerLease = o.formerOrdersMayCome(o.Clock.Now())
 	for _, l := range o.lateOrders[h.id] {
 		if l.startedMs == h.startedMs {
 			continue
@@ -51,10 +52,14 @@
 // worker that has just answered for the first time: an earlier owner until now, or an order
 // to an earlier incarnation that is carried out late.
 func (o *Owner) inheritedLease(h *host, now time.Time) time.Duration {
-	if h.lateLeases.After(now) {
+	switch {
+	case h.lateLeases.After(now):
 		return h.lateLeases.Sub(now) + o.Bounds.MaxLease
+	case h.formerLease:
+		return o.Bounds.MaxLease
+	default:
+		return leaseCap
 	}
-	return leaseCap
 }
 
 // forgetLateOrders drops the orders that can't be carried out any more.
