owner: notice suspensions by the clock that counts them

The gap between two rounds is now taken by the clock of elect, which counts suspension. TestThawedOwnerAsksBeforeItStarts has a row for each; with a gap by the other clock, the row "suspended" fails.

--- a/owner/owner.go
+++ b/owner/owner.go
@@ -74,6 +74,9 @@
 	// Proven reports whether the election is certainly in force, so that no later owner can
 	// have been elected. It does not report so while the store can't be reached.
 	Proven func() bool
+	// SinceBoot returns the time since some moment, including the time for which the host
+	// was suspended.
+	SinceBoot func() time.Duration
 	// AskAdvisor returns a ticket for each worker that the advisor lets run a step,
 	// by worker. It gives up after the time in within.
 	AskAdvisor func(ctx context.Context, q runs.AdvisorQuery, within time.Duration) (map[string]string, error)
@@ -144,9 +147,9 @@
 	trialsWait bool
 	// inDoubt tells that a later owner may have been elected.
 	inDoubt bool
-	// advancedAt is when the loop last did what is due. Until ordersFrom, it gives neither
-	// starts nor leases.
-	advancedAt, ordersFrom time.Time
+	// advancedAt is when the loop last did what is due, by SinceBoot; 0 before the first time.
+	advancedAt time.Duration
+	ordersFrom time.Time // until then, the owner gives neither starts nor leases
 	// restartsWait tells that in the last scheduling pass a subtask waited until its record
 	// is stored.
 	restartsWait bool
@@ -350,11 +353,13 @@
 // the workers for a successor before it gives starts or leases: the successor may have given up
 // a worker that it can't reach.
 func (o *Owner) checkSuspension(now time.Time) {
-	if !o.advancedAt.IsZero() && now.Sub(o.advancedAt) >= suspendedFor && !o.Proven() {
+	at := o.SinceBoot()
+	gap := at - o.advancedAt
+	if o.advancedAt != 0 && gap >= suspendedFor && !o.Proven() {
 		o.ordersFrom = now.Add(doubtPollInterval)
-		o.Log.Warn().Str("pool", o.Pool).Dur("gap", now.Sub(o.advancedAt)).Msg("owner was suspended; asking the workers for a successor")
+		o.Log.Warn().Str("pool", o.Pool).Dur("gap", gap).Msg("owner was suspended; asking the workers for a successor")
 	}
-	o.advancedAt = now
+	o.advancedAt = at
 }
 
 // untilNextDue returns the time until the next occurrence of a scheduled job is
--- a/owner/release_test.go
+++ b/owner/release_test.go
@@ -35,6 +35,7 @@
 		Pool: "a", Clock: r.clock, Bounds: Bounds{StopTime: 400 * time.Millisecond, MaxLease: time.Minute},
 		Log:   &log.Logger{Writer: log.IOWriter{Writer: io.Discard}},
 		Stats: NewStats(metrics.NewRegistry()), Proven: func() bool { return true },
+		SinceBoot: func() time.Duration { return time.Duration(r.clock.Now().UnixNano()) },
 		Workers: Workers{Stop: func(_ context.Context, _ runs.Target, s runs.Stop) (runs.Reply, error) {
 			r.stops <- s
 			return runs.Reply{}, nil
--- a/owner/thaw_test.go
+++ b/owner/thaw_test.go
@@ -18,6 +18,13 @@
 // starts the subtask elsewhere within the lease of this start. The owner must ask the workers
 // for a successor first.
 func TestThawedOwnerAsksBeforeItStarts(t *testing.T) {
+	t.Run("paused", func(t *testing.T) { testThawedOwner(t, true) })
+	t.Run("suspended", func(t *testing.T) { testThawedOwner(t, false) })
+}
+
+// testThawedOwner suspends an owner for 3.6 s. The clock counts the time if its process alone
+// was paused, and does not if the whole host was.
+func testThawedOwner(t *testing.T, clockCounts bool) {
 	r := newRig(t)
 	proven := true
 	r.Proven = func() bool { return proven }
@@ -41,8 +48,16 @@
 	task.Phase, task.WorkerID = steps.Waiting, ""
 	task.HeldUntil = r.clock.Now().Add(time.Second)
 	r.advance(r.clock.Now())
-	r.clock.Advance(3600 * time.Millisecond)
+	const away = 3600 * time.Millisecond
 	proven = false
+	if clockCounts {
+		r.clock.Advance(away)
+	} else {
+		task.HeldUntil = time.Time{}
+		r.clock.Advance(maxPassGap)
+		at := r.advancedAt + away
+		r.SinceBoot = func() time.Duration { return at }
+	}
 	r.advance(r.clock.Now())
 	require.Equal(t, steps.Waiting, task.Phase, "no worker has been asked")
 }
