owner: hold an end while a try of its start is under way

Callers would see TWICE: a run that was started by one try ends while another is under way. The outcome of that one was dropped, as the run had ended, so that the end was acknowledged at once, and the worker's next incarnation could start the run again. It now counts as a try without an answer.

--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -271,6 +271,9 @@
 		if e.Outcome == runs.Done && e.Checkpoint == "" {
 			o.recordRunTime(p, o.Clock.Now())
 		}
+		if p.inFlight && !p.stopping {
+			o.recordUnanswered(h, p) // a try that is under way may start the run again
+		}
 		o.freeRoom(h, p)
 	}
 	if !t.Step.LongRunning {
--- a/owner/unanswered_test.go
+++ b/owner/unanswered_test.go
@@ -180,3 +180,23 @@
 	r.handle(<-r.inbox) // the next incarnation refuses it
 	require.Equal(t, r.Bounds.StopTime+stopSlack, p.task.HeldUntil.Sub(r.clock.Now()))
 }
+
+// TWICE: a run ends while a further try of its start is under way. That one may still be carried
+// out, by the worker's next incarnation: the end is acknowledged only when it can't be.
+func TestEndIsHeldWhileTryIsUnderWay(t *testing.T) {
+	for _, underWay := range []bool{false, true} {
+		r := newRig(t)
+		h, id := r.rows[0], r.tasks[0].ID
+		r.tasks[0].Step.LongRunning = false
+		p := h.runs[id]
+		p.inFlight, p.startSentAt = underWay, r.clock.Now()
+		j := p.job
+		r.handleEnds(h, []runs.End{{Number: 1, Task: id, Run: 1, Outcome: runs.Done}})
+		j.stored = j.version
+		r.ackStoredEnds()
+		require.Equal(t, underWay, h.ackable == 0)
+		r.clock.Advance(maxOrderDelay)
+		r.ackStoredEnds()
+		require.Equal(t, int64(1), h.ackable)
+	}
+}
