owner: count a start without an answer from the end of its try

Callers would see TWICE: a call waits for CPU or a connection for up to its time-out before it is sent, and may be carried out 12 s after that, while the owner counted the 12 s from before the call. The time now counts from the end of the try, as it already did where copies of it were made. TestStartCountsFromEndOfTry failed before (12 s in place of 12.15 s).

--- a/owner/act.go
+++ b/owner/act.go
@@ -278,10 +278,7 @@
 	}
 	to, delay := h.target(), h.copyDelay(p.startSentAt)
 	within := tryTimeout(max(p.tries, h.failedPolls), delay)
-	p.copiesUntil = time.Time{}
-	if delay > 0 {
-		p.copiesUntil = p.startSentAt.Add(within)
-	}
+	p.sentBy = p.startSentAt.Add(within)
 	go func() {
 		ctx, cancel := context.WithTimeout(o.ctx, within)
 		defer cancel()
--- a/owner/host.go
+++ b/owner/host.go
@@ -101,11 +101,12 @@
 	tries       int // to start the run
 	stopTries   int
 	startSentAt time.Time // when the last try was sent
-	// copiesUntil is until when further copies of the last try may be sent; zero for none.
-	copiesUntil time.Time
-	copied      bool // a start was sent in several copies
-	inFlight    bool // a start or stop is under way
-	announced   bool // see steps.Task.Announce
+	// sentBy is until when the last try or a copy of it may be sent: a call may wait for CPU or a
+	// connection.
+	sentBy    time.Time
+	copied    bool // a start was sent in several copies
+	inFlight  bool // a start or stop is under way
+	announced bool // see steps.Task.Announce
 	// share is the share, in percent, at which a filling run works, or shareUnknown.
 	share        int
 	paceInFlight bool      // a call to change share is under way
@@ -117,7 +118,7 @@
 }
 
 // lastSentAt returns when the last start was sent, at the latest.
-func (p *placement) lastSentAt() time.Time { return later(p.startSentAt, p.copiesUntil) }
+func (p *placement) lastSentAt() time.Time { return later(p.startSentAt, p.sentBy) }
 
 // mayHaveStarted reports whether another start than the one that was answered last may have
 // been carried out.
--- a/owner/unanswered_test.go
+++ b/owner/unanswered_test.go
@@ -200,3 +200,20 @@
 		require.Equal(t, int64(1), h.ackable)
 	}
 }
+
+// TWICE: a start waits for a connection before it is sent, and is carried out 12 s after that.
+// The time in which it may be carried out is counted from the end of the try.
+func TestStartCountsFromEndOfTry(t *testing.T) {
+	r := newRig(t)
+	r.Workers.Start = func(ctx context.Context, _ runs.Target, _ runs.Start) (runs.Reply, error) {
+		return runs.Reply{}, plat.ErrUnknown
+	}
+	h := r.rows[0]
+	p := h.runs[r.tasks[0].ID]
+	p.confirmedAt, p.task.Phase = time.Time{}, steps.Starting
+	begun := r.clock.Now()
+	r.sendStart(h, p)
+	r.handle(<-r.inbox)
+	r.endIncarnation(h, "lease is over")
+	require.Equal(t, minAnswerTimeout+maxOrderDelay, p.task.HeldUntil.Sub(begun))
+}
