owner: let the model's missing safeguards reach calls made in copies

The test takes a safeguard away by making calls without an answer look refused. With copies, the answer of another copy shows the owner that the first may be carried out late, and it records that, so that the safeguard was missing only where no copy was answered. The code is not at fault.

Such calls now look refused before the first copy follows, both in this test and in the one of starts, so that the safeguard is missing at each of them, as before the copies. The assertion is the same.

--- a/owner/model_test.go
+++ b/owner/model_test.go
@@ -315,6 +315,11 @@
 	}
 }
 
+// beforeCopies is a time after which an owner makes no further copy of a call yet. A call
+// without an answer that is to count as refused must do so by then: another copy that is
+// answered would show that it may be carried out.
+const beforeCopies = 15 * time.Millisecond
+
 // TestModelCatches checks that the model detects a missing safeguard.
 func TestModelCatches(t *testing.T) {
 	for name, prepare := range map[string]func(pool *testPool){
@@ -338,6 +343,8 @@
 		},
 		"starts without an answer that count as refused": func(pool *testPool) {
 			pool.start = func(ctx context.Context, to runs.Target, s runs.Start) (runs.Reply, error) {
+				ctx, cancel := context.WithTimeout(ctx, beforeCopies)
+				defer cancel()
 				r, err := pool.workers.Start(ctx, to, s)
 				if errors.Is(err, plat.ErrUnknown) {
 					err = plat.ErrUnavailable
@@ -363,6 +370,8 @@
 				return fakes.NoFault
 			}
 			pool.renew = func(ctx context.Context, to runs.Target, n runs.Renew) (runs.Report, error) {
+				ctx, cancel := context.WithTimeout(ctx, time.Duration(n.WaitMs)*time.Millisecond+beforeCopies)
+				defer cancel()
 				r, err := pool.workers.Renew(ctx, to, n)
 				if errors.Is(err, plat.ErrUnknown) {
 					err = plat.ErrUnavailable
