fakes: answer a poll that waited with the clock after its wait

The stand-in took the clock and the runs from before the wait, so that leases that owners give were up to 1 s shorter in the model than on the platform. TestModelCatches still finds each missing safeguard (13.7 s in all).

--- a/fakes/workerset.go
+++ b/fakes/workerset.go
@@ -497,7 +497,7 @@
 		select {
 		case <-changed:
 		case <-wait:
-			return out, nil
+			n.WaitMs = 0 // the clock and the runs are those at the end of the wait
 		case <-ctx.Done():
 			return out, fmt.Errorf("%w: %w", plat.ErrUnknown, ctx.Err())
 		}
