proof: keep the entries' ports out of starting programs

TestWave/rack_lost failed once in a trial with 15 fleets starting at the same time, beside a load of 50 on 8 cores: e1 was not live within 10 s, since its listen.peers.address was in use. freeAddr had listened on that address and closed it just before. A program that the test starts meanwhile has a copy of the listener until it executes, which takes long on a busy machine, and the address is in use until then.

Ruled out: two calls of freeAddr that return the same port, since its counter is atomic; outgoing connections, since the port lies below the ephemeral range. Not ruled out: another program on the machine that listened there, which left no trace.

freeAddr now holds that lock.

--- a/proof/proc_test.go
+++ b/proof/proc_test.go
@@ -139,17 +139,28 @@
 	nextPort.CompareAndSwap(0, int32(firstPort+os.Getpid()%100*150))
 	for range lastPort - firstPort {
 		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+(nextPort.Add(1)-firstPort)%(lastPort-firstPort))
-		ln, err := net.Listen("tcp", addr)
-		if err != nil {
-			continue
+		if isFree(addr) {
+			return addr
 		}
-		_ = ln.Close()
-		return addr
 	}
 	require.FailNow(t, "no free port")
 	return ""
 }
 
+// isFree reports whether nothing listens on addr. No program may be started
+// meanwhile: until it executes, the new process would hold a copy of the listener and
+// with it the address.
+func isFree(addr string) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return false
+	}
+	_ = ln.Close()
+	return true
+}
+
 // eventually polls ok until it returns true, and fails the test after limit. what
 // names the condition in the failure message.
 func eventually(t *testing.T, limit time.Duration, what string, ok func() bool) {
