proof: run fleets side by side

Six tests could run in parallel, but the parents of rows could not, so that each parent with its rows had the machine for itself: TestWave's seven rows in two rounds, then TestWorkerLost, and so on; eleven groups in a row.

The start of a fleet takes about 6 s, as hosts are given to pools 5 s after they are first seen (moves.AssignAfter). In a wave a host needs about 10 s: scans, each a second after the other (entry.scanInterval), for the acknowledgement of the drain, two probes before the reboot, two after it and two in the probation, besides the confirmed order, hosts.return and hosts.probation.

Now all parents run in parallel. Eight fleets run at a time; the seven of TestWave run besides from the start, since their row is the longest whatever the others do. TestStoreRates still runs alone and first, as it measures rates at full load. The programs are built once for all, as before. The time that -v prints for a row now includes the wait for a slot, which is logged.

--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -75,6 +75,13 @@
 
 // newFleetWith is newFleet with another first release note.
 func newFleetWith(t *testing.T, n, w int, note string) *fleet {
+	t.Helper()
+	takeSlot(t)
+	return startFleet(t, n, w, note)
+}
+
+// startFleet is newFleetWith without a slot of fleetSlots.
+func startFleet(t *testing.T, n, w int, note string) *fleet {
 	t.Helper()
 	f := &fleet{
 		t: t, workerAddrs: map[string]string{}, proxies: map[string]*toxiproxy.Proxy{},
--- a/proof/jobs_test.go
+++ b/proof/jobs_test.go
@@ -70,6 +70,7 @@
 // job ends, a job that is not idempotent starts at most once, a refused job never
 // starts, and the reported end agrees with the worker's record.
 func TestJobs(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name    string
 		disturb func(f *fleet)
@@ -168,6 +169,7 @@
 // concurrently and again later. The request runs once, and every complete answer
 // is the same.
 func TestKeys(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name  string
 		fault fakes.Fault
--- a/proof/leave_test.go
+++ b/proof/leave_test.go
@@ -18,6 +18,7 @@
 // TestLeave has a host leave under load, in each way that it can. After leaveLimit
 // no task starts on it; once it is back, it gets tasks again.
 func TestLeave(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name    string
 		leave   func(f *fleet)
--- a/proof/move_test.go
+++ b/proof/move_test.go
@@ -42,6 +42,7 @@
 // host runs tasks of two pools at the same time, no task is cut off by a move, and
 // both pools reach their sizes.
 func TestMove(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name    string
 		disturb func(f *fleet)
--- a/proof/pairs_test.go
+++ b/proof/pairs_test.go
@@ -51,6 +51,7 @@
 // TestPairs draws pairs of faults and injects both into a fleet that moves hosts
 // under load. The seed is printed, and set with -pairs.seed.
 func TestPairs(t *testing.T) {
+	t.Parallel()
 	rng := rand.New(rand.NewPCG(*pairSeed, 3))
 	for range *pairRuns {
 		i, j := drawPair(rng)
--- a/proof/path_test.go
+++ b/proof/path_test.go
@@ -12,6 +12,7 @@
 // up to and beyond the size that is kept for a retry (endpt.ReplayLimit). Each is
 // answered with its own body and runs exactly once.
 func TestPath(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 2, 8)
 	rng := rand.New(rand.NewPCG(1, 1))
 	for _, size := range []int{0, 1, 1 << 10, 64 << 10, 8 << 20} {
--- a/proof/proc_test.go
+++ b/proof/proc_test.go
@@ -23,13 +23,31 @@
 // binDir holds the programs that TestMain builds.
 var binDir string
 
-// parallelFleets is the number of tests that run in parallel, each with a fleet of
-// its own.
-const parallelFleets = "6"
+const (
+	// parallelTests is the number of tests and rows that may run in parallel: all of
+	// them, since fleetSlots limits their fleets.
+	parallelTests = "100"
+	// parallelFleets is the number of fleets that run side by side, besides those that
+	// hold no slot. Fleets mostly wait for intervals; with eight, the other rows end
+	// about when those of TestWave do.
+	parallelFleets = 8
+)
+
+// fleetSlots holds one element for each fleet that runs. The rows of TestWave hold
+// none: they take longest by far, so that the package would end later if they waited.
+var fleetSlots = make(chan struct{}, parallelFleets)
+
+// takeSlot waits for a slot, which is released when the test has ended.
+func takeSlot(t *testing.T) {
+	began := time.Now()
+	fleetSlots <- struct{}{}
+	t.Cleanup(func() { <-fleetSlots })
+	t.Logf("waited %s for a slot", time.Since(began).Round(time.Millisecond))
+}
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	if err := flag.Set("test.parallel", parallelFleets); err != nil {
+	if err := flag.Set("test.parallel", parallelTests); err != nil {
 		panic(err)
 	}
 	dir, err := os.MkdirTemp("", "proof")
--- a/proof/stop_test.go
+++ b/proof/stop_test.go
@@ -13,6 +13,7 @@
 // TestStop stops each entry in turn with SIGTERM under load, with the store up and
 // down. No request is cut off, and every process exits with code 0.
 func TestStop(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name string
 		down bool
--- a/proof/wave_test.go
+++ b/proof/wave_test.go
@@ -32,6 +32,7 @@
 // wave. Each host is rebooted exactly once, planned outages stay within the budget,
 // and no task is cut off.
 func TestWave(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name    string
 		disturb func(f *fleet)
@@ -78,7 +79,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			f := newFleet(t, 3, 8)
+			f := startFleet(t, 3, 8, onePoolNote)
 			w := f.watchBudget()
 			l := f.startLoad(6, loadSpec{kind: "incident", run: 200 * time.Millisecond, size: 100, pause: 20 * time.Millisecond})
 			f.setLastMaintenance(48 * time.Hour)
--- a/proof/worker_test.go
+++ b/proof/worker_test.go
@@ -15,6 +15,7 @@
 // unreachable, while tasks run. A request that is not idempotent gets the outcome
 // unknown or not-run, as it was; an idempotent one is retried on another worker.
 func TestWorkerLost(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name    string
 		kind    string
