proof: poll less often in long waits

Beside each other, the fleets' own polls took time from one another: eventually asked every 20 ms, for minutes in waves, moves and jobs, and lastTaskStart read the records of all eight workers to look at those of one.

Polls are now a thousandth of the limit apart, 20 ms at least: nothing changes for limits up to 20 s, and waits with the limit of five minutes, which only ends hung tests, ask every 0.3 s. lastTaskStart reads one worker's records. Checks are the same, made after these waits.

--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -9,7 +9,6 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -327,17 +326,19 @@
 
 // startedTasks returns the records of all tasks that the workers have started.
 func (f *fleet) startedTasks() []fakes.Record {
-	var mu sync.Mutex
 	var all []fakes.Record
-	for host, addr := range f.workerAddrs {
-		res, err := f.client.Get("http://" + addr + "/seen")
-		require.NoError(f.t, err, host)
-		var some []fakes.Record
-		require.NoError(f.t, json.NewDecoder(res.Body).Decode(&some))
-		_ = res.Body.Close()
-		mu.Lock()
-		all = append(all, some...)
-		mu.Unlock()
+	for host := range f.workerAddrs {
+		all = append(all, f.startedTasksOn(host)...)
 	}
 	return all
 }
+
+// startedTasksOn returns the records of the tasks that one worker has started.
+func (f *fleet) startedTasksOn(host string) []fakes.Record {
+	res, err := f.client.Get("http://" + f.workerAddrs[host] + "/seen")
+	require.NoError(f.t, err, host)
+	defer res.Body.Close()
+	var tasks []fakes.Record
+	require.NoError(f.t, json.NewDecoder(res.Body).Decode(&tasks))
+	return tasks
+}
--- a/proof/leave_test.go
+++ b/proof/leave_test.go
@@ -99,10 +99,8 @@
 // Unix time, 0 if none has.
 func (f *fleet) lastTaskStart(host string) int64 {
 	var last int64
-	for _, r := range f.startedTasks() {
-		if r.Host == host {
-			last = max(last, r.Began)
-		}
+	for _, r := range f.startedTasksOn(host) {
+		last = max(last, r.Began)
 	}
 	return last
 }
--- a/proof/proc_test.go
+++ b/proof/proc_test.go
@@ -179,6 +179,14 @@
 	return true
 }
 
+const (
+	// minPollInterval is the least interval at which eventually polls.
+	minPollInterval = 20 * time.Millisecond
+	// pollsPerLimit sets the interval of long waits: each poll takes time from the
+	// fleets that run beside it.
+	pollsPerLimit = 1000
+)
+
 // eventually polls ok until it returns true, and fails the test after limit. what
 // names the condition in the failure message.
 func eventually(t *testing.T, limit time.Duration, what string, ok func() bool) {
@@ -188,6 +196,6 @@
 		if time.Now().After(deadline) {
 			require.FailNow(t, fmt.Sprintf("condition not met within %s: %s", limit, what))
 		}
-		<-time.After(20 * time.Millisecond)
+		<-time.After(max(minPollInterval, limit/pollsPerLimit))
 	}
 }
