proof: tell why a started entry does not answer

TestConfigOutage failed once, in a whole run at a load of 60 to 84 on 8 cores: the entry started in the outage refused a request as not run, and the test did not print the refusal. It now does; nothing else is changed.

Traced with a trial that asked the started entry without pause, five runs at a load of 23 to 21: it knows its pool after 0.04 to 0.05 s, says that it is ready after 0.24 to 0.29 s, and has the first slots after 1.1 to 1.3 s, with the scan that first probes the workers. A pool that has had no host for 2 s refuses work (route.noHostsGrace), counted from when the pool is known; so a machine that delays the probes by 0.7 s more makes an entry that is ready refuse work that its workers could take. The refusal is true, the work was not run. Not ruled out: another reason of the refusal, since it was not printed.

It is a matter of the product, which counts a worker that was never probed as one that doesn't answer, and is left to its owner. go test ./proof -count=12 -run 'TestConfigOutage$' -v at a load falling from 63 to 23: passed 12 times.

--- a/proof/conf_test.go
+++ b/proof/conf_test.go
@@ -152,7 +152,8 @@
 		return f.getStatus(f.entries[2], "/readyz") == http.StatusOK
 	})
 	require.EqualValues(t, 2, f.fleetState(f.entries[2]).Rev)
-	require.Equal(t, "answered", f.call(f.entries[2], "digest", []byte("x")).outcome)
+	got := f.call(f.entries[2], "digest", []byte("x"))
+	require.Equal(t, "answered", got.outcome, "%v %s", got.err, got.body)
 
 	stop := f.watchRevisions()
 	f.entries[1].proc.signal(syscall.SIGSTOP)
