--- a/proof/stop_test.go
+++ b/proof/stop_test.go
@@ -13,6 +13,7 @@
 // TestStop stops each entry in turn with SIGTERM under load, with the store up and
 // down. No request is cut off, and every process exits with code 0.
 func TestStop(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name string
 		down bool
@@ -35,6 +36,11 @@
 			tasks := f.startedTasks()
 			require.Empty(t, cutTasks(tasks))
 			require.Positive(t, checkResults(t, l, tasks, false))
+			for i := range all {
+				if a := &all[i]; a.outcome == "broken" || a.outcome == "unknown" {
+					t.Logf("%s: %s %d %s %v", a.outcome, a.id, a.status, a.body, a.err)
+				}
+			}
 			require.Zero(t, countOutcome(all, "broken"), "of %d", len(all))
 			require.Zero(t, countOutcome(all, "unknown"), "of %d", len(all))
 			t.Logf("%d requests: %d answered, %d not run", len(all), countOutcome(all, "answered"), countOutcome(all, "not-run"))
