soak: run entries as processes under random faults

What: soak starts entries of the program as processes against stand-ins of the users' platform (fakes/site, HTTP over fakes.KV and fakes.WorkerSet, whose checker is the one that the model uses), injects faults from outside in an order that a seed gives, and checks fourteen promises from what callers and workers see. go run ./soak -seed N -for D -processes N -log DIR.

The model runs owners in virtual time; it has no processes, no connections and no callers that keep them open.

Each promise but the soak's own has a planted fault that it must notice.

--- a/fakes/check.go
+++ b/fakes/check.go
@@ -45,6 +45,29 @@
 	return most
 }
 
+// Up tells whether a worker is up.
+func (ws *WorkerSet) Up(id string) bool {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	w := ws.workers[id]
+	return w != nil && w.up
+}
+
+// JobDone tells whether reports have listed an end as Done for every subtask of a job.
+func (ws *WorkerSet) JobDone(id string) bool {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	j := ws.jobs[id]
+	for occur := range j.Occurrences() {
+		for step := range j.Steps {
+			if !ws.stepDone(j, occur, step) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // recordViolation adds the text of a broken rule; ws.mu is held.
 func (ws *WorkerSet) recordViolation(format string, args ...any) {
 	ws.violations = append(ws.violations, fmt.Sprintf(format, args...))
--- a/fakes/kv.go
+++ b/fakes/kv.go
@@ -320,6 +320,17 @@
 	return rev
 }
 
+// Delete removes a key without conditions, as workers do. No call is counted and no
+// fault injected.
+func (k *KV) Delete(key string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	_, _, err := k.commit(plat.Txn{Remove: []string{key}})
+	if err != nil {
+		panic(err) // can't fail: no conditions, no lease
+	}
+}
+
 // Grant opens a lease and returns its ID.
 func (k *KV) Grant(ctx context.Context, ttl time.Duration) (id int64, err error) {
 	err = k.call(ctx, "grant", "", func() {
--- /dev/null
+++ b/soak/check.go
@@ -0,0 +1,204 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+)
+
+// promises are what the soak checks, in the order of the report.
+var promises = []struct{ name, text string }{
+	{"KNOWN", "an accepted job is known at every entry"},
+	{"ENDS", "an accepted job ends; one that lasts is at work"},
+	{"STATE", "a state that is shown is true and stays"},
+	{"REFUSED", "a refused hand-in never runs"},
+	{"TWICE", "nothing runs twice at once, or after its noted end"},
+	{"ORDER", "steps and times are kept"},
+	{"LIMIT", "no worker is over its capacity"},
+	{"BUDGET", "no start after the last attempt"},
+	{"ROUTE", "no more subtasks on a worker than the step allows"},
+	{"UNASKED", "nothing starts that was not handed in, or was cancelled"},
+	{"DRAIN", "nothing starts on a worker that leaves"},
+	{"RECOVER", "hand-ins are accepted soon after the last fault"},
+	{"EXIT", "a process ends when told to, in time, and never by itself"},
+	{"SOAK", "the soak itself works"},
+}
+
+// checkedAtStart are the promises that the workers check at each start.
+var checkedAtStart = []string{"TWICE", "ORDER", "LIMIT", "BUDGET", "ROUTE", "UNASKED", "DRAIN"}
+
+// contact is how long there must have been no fault for the promises that hold for
+// entries in touch.
+const contact = 3 * time.Second
+
+// needsCalm tells whether the promise that a violation is of holds for entries in touch
+// only: one that is cut off can't know of a cancel, or of a worker that leaves.
+func needsCalm(violation string) bool {
+	return strings.HasPrefix(violation, "DRAIN") || strings.HasSuffix(violation, "after its cancellation")
+}
+
+// Violation is a promise that was broken.
+type Violation struct {
+	Promise string        `json:"promise"`
+	At      time.Duration `json:"at_ns"` // since the soak's start
+	Text    string        `json:"text"`
+}
+
+// checks counts checks, violations and faults, and knows whether there is a fault now.
+type checks struct {
+	log         *log.Logger
+	onViolation func(promise string)
+
+	mu         sync.Mutex
+	begun      time.Time
+	active     int       // faults
+	harsh      int       // those of them that are not gentle
+	lastFault  time.Time // its end
+	lastHarsh  time.Time // the same for those that are not gentle
+	unanswered []time.Time
+	slowest    time.Duration // from the end of a fault to a hand-in that was accepted
+	counts     map[string]int
+	violations []Violation
+	read       int // violations of the workers that were read
+	excused    int
+	faults     map[string]int
+	skipped    int
+}
+
+func newChecks(logger *log.Logger) *checks {
+	return &checks{log: logger, begun: time.Now(), counts: map[string]int{}, faults: map[string]int{}, onViolation: func(string) {}}
+}
+
+// check counts a check of a promise, which is broken unless it holds.
+func (s *Soak) check(promise string, holds bool, format string, args ...any) {
+	s.checks.check(promise, holds, format, args...)
+}
+
+func (c *checks) check(promise string, holds bool, format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts[promise]++
+	if holds {
+		return
+	}
+	v := Violation{promise, time.Since(c.begun), fmt.Sprintf(format, args...)}
+	c.violations = append(c.violations, v)
+	c.log.Error().Str("promise", promise).Msg(v.Text)
+	c.onViolation(promise)
+}
+
+// disturb records the begin of a fault, and returns the function that records its end.
+// A gentle one leaves all entries in touch.
+func (c *checks) disturb(gentle bool) func() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.active++
+	if !gentle {
+		c.harsh++
+	}
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.active--
+		c.lastFault = time.Now()
+		if !gentle {
+			c.harsh--
+			c.lastHarsh = c.lastFault
+		}
+		c.unanswered = append(c.unanswered, c.lastFault)
+	}
+}
+
+// isCalm tells whether all entries have been in touch for the time contact.
+func (c *checks) isCalm() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.harsh == 0 && time.Since(c.lastHarsh) > contact
+}
+
+// awaitEnd waits until there is no fault, and returns the end of the last one.
+func (c *checks) awaitEnd(ctx context.Context) time.Time {
+	for {
+		c.mu.Lock()
+		active, last := c.active, c.lastFault
+		c.mu.Unlock()
+		if active == 0 || ctx.Err() != nil {
+			return last
+		}
+		wait(ctx, 20*time.Millisecond)
+	}
+}
+
+// accepted records that a hand-in that was sent at a time was accepted.
+func (c *checks) accepted(sent time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	left := c.unanswered[:0]
+	for _, end := range c.unanswered {
+		if sent.Before(end) {
+			left = append(left, end)
+			continue
+		}
+		c.slowest = max(c.slowest, time.Since(end))
+	}
+	c.unanswered = left
+}
+
+func (c *checks) countFault(kind string, caused bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if caused {
+		c.faults[kind]++
+	} else {
+		c.skipped++
+	}
+}
+
+// violationsPeriod is how often the violations that the workers found are read.
+const violationsPeriod = 50 * time.Millisecond
+
+// readViolations adds the violations that the workers have found since the last call.
+func (s *Soak) readViolations() {
+	calm, all := s.checks.isCalm(), s.workers.Violations()
+	s.checks.mu.Lock()
+	fresh := all[s.checks.read:]
+	s.checks.read = len(all)
+	s.checks.mu.Unlock()
+	for _, text := range fresh {
+		if needsCalm(text) && !calm {
+			s.checks.mu.Lock()
+			s.checks.excused++
+			s.checks.mu.Unlock()
+			s.checks.log.Info().Msg("excused: " + text)
+			continue
+		}
+		name, rest, _ := strings.Cut(text, " ")
+		s.check(name, false, "%s", rest)
+	}
+}
+
+// report returns the counts so far.
+func (s *Soak) report() Report {
+	s.mu.Lock()
+	r := Report{Seed: s.opt.Seed, Entries: s.opt.Entries, Workers: s.opt.Workers, Jobs: map[string]int{}}
+	for _, l := range s.loads {
+		r.Jobs[l.status.String()]++
+	}
+	s.mu.Unlock()
+	r.Starts = s.workers.Starts()
+	s.checks.mu.Lock()
+	defer s.checks.mu.Unlock()
+	c := s.checks
+	r.Took, r.Faults, r.Skipped, r.Excused = time.Since(c.begun), maps.Clone(c.faults), c.skipped, c.excused
+	r.SlowestRecovery, r.Checks = c.slowest, maps.Clone(c.counts)
+	r.Violations = append([]Violation{}, c.violations...)
+	for _, name := range checkedAtStart {
+		r.Checks[name] += r.Starts
+	}
+	return r
+}
--- /dev/null
+++ b/soak/soak.go
@@ -0,0 +1,394 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"shallotpaddle/daemon"
+	"shallotpaddle/fakes"
+	"shallotpaddle/fakes/site"
+	"shallotpaddle/hosts"
+	"shallotpaddle/runs"
+	"shallotpaddle/steps"
+)
+
+// Options are the settings of a soak.
+type Options struct {
+	Seed    uint64
+	For     time.Duration // how long there are faults
+	Entries int           // number of processes
+	Workers int
+	Rate    float64 // jobs handed in per second
+	Program string  // path of the program
+	Dir     string  // for logs, settings and the report
+	// Settle is the longest time from the last fault until all jobs must have ended.
+	Settle time.Duration
+	// plant is a fault that the soak must notice, and at which it ends then.
+	plant plant
+}
+
+// plant has the faults of a stand-in or of the soak itself, which break a promise.
+type plant struct {
+	site.Twists
+	// answer falsifies the answers to callers.
+	answer func(method string, status int, state string) (int, string)
+	// apart changes a job on its way to the entries.
+	apart func(steps.Job) *steps.Job
+	// events replaces the schedule.
+	events []event
+	// promise is the name of the promise that is broken, empty if nothing is planted.
+	promise string
+	// load changes the jobs that are drawn.
+	load func(*load)
+	// noRestart leaves killed entries dead, noCancel keeps cancels from being sent.
+	noRestart, noCancel bool
+}
+
+// capacity is that of each worker.
+var capacity = hosts.Resources{CPU: 4000, Mem: 4096}
+
+// maxAttempts is the queue's.
+const maxAttempts = 3
+
+// Soak is one run.
+type Soak struct {
+	opt     Options
+	begun   time.Time
+	kv      *fakes.KV
+	workers *fakes.WorkerSet
+	site    *site.Site
+	starter *starter
+	caller  *site.Caller
+	net     *loopback
+	entries []*entry
+	fleet   string // address
+
+	storeFault  atomic.Pointer[func(op, key string) fakes.CallFault]
+	busyWorkers atomic.Int64
+	checks      *checks
+
+	mu         sync.Mutex
+	pool       []*worker
+	nextWorker int
+	loads      map[string]*load // by job ID
+	starts     map[runs.Task]int
+	closers    []func()
+	logs       *os.File
+	settling   chan struct{} // closed when jobs that last are to be cancelled
+}
+
+// entry is an entry's process with its settings and its link to the store.
+type entry struct {
+	site.Entry
+	file, log string
+	store     *link
+	busy      sync.Mutex // held by a fault of the process
+	proc      atomic.Pointer[process]
+}
+
+func (en *entry) process() *process { return en.proc.Load() }
+
+// worker is a stand-in of a worker with its link.
+type worker struct {
+	hosts.Worker
+	link *link
+	busy sync.Mutex // held by a fault of the worker
+}
+
+// New returns a soak whose stand-ins and entries run; Close ends them.
+func New(opt Options) (*Soak, error) {
+	logs, err := os.OpenFile(filepath.Join(opt.Dir, "soak.log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("soak: %w", err)
+	}
+	s := &Soak{
+		opt: opt, kv: fakes.NewKV(), workers: fakes.NewWorkerSet(site.MaxLease), starter: newStarter(), settling: make(chan struct{}),
+		caller: site.NewCaller(callTimeout), checks: newChecks(daemon.NewLogger(logs, "info")), loads: map[string]*load{}, starts: map[runs.Task]int{},
+		logs: logs,
+	}
+	s.kv.InjectFault = func(op, key string) fakes.CallFault {
+		if f := s.storeFault.Load(); f != nil {
+			return (*f)(op, key)
+		}
+		return fakes.NoFault
+	}
+	s.workers.DecideRun = s.decideRun
+	s.caller.Twist = opt.plant.answer
+	s.site = site.New(s.kv, s.workers, opt.plant.Twists)
+	if err := s.start(); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Soak) start() error {
+	var err error
+	if s.net, err = newLoopback(); err != nil {
+		return err
+	}
+	store, err := s.serve(s.site.StoreHandler())
+	if err != nil {
+		return err
+	}
+	if s.fleet, err = s.serve(s.site.FleetHandler()); err != nil {
+		return err
+	}
+	s.site.PutConfig(1, maxAttempts)
+	for range s.opt.Workers {
+		if err := s.addWorker(); err != nil {
+			return err
+		}
+	}
+	for i := range s.opt.Entries {
+		if err := s.addEntry(i, store); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// serve serves a stand-in and returns its address.
+func (s *Soak) serve(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", s.net.address())
+	if err != nil {
+		return "", fmt.Errorf("soak: %w", err)
+	}
+	srv := &http.Server{Handler: h}
+	go func() { _ = srv.Serve(l) }() // it ends with Close
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closers = append(s.closers, func() { _ = srv.Close() })
+	return l.Addr().String(), nil
+}
+
+// newLink returns a link to an address, which is cut for good at the end.
+func (s *Soak) newLink(name, upstream string) (*link, error) {
+	l, err := newLink(name, s.net.address(), upstream)
+	if err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closers = append(s.closers, l.cut)
+	return l, nil
+}
+
+func (s *Soak) addEntry(i int, store string) error {
+	name := fmt.Sprintf("e%02d", i)
+	l, err := s.newLink(name+">store", store)
+	if err != nil {
+		return err
+	}
+	en := &entry{
+		Entry: site.Entry{Name: name, Callers: s.net.address(), Readiness: s.net.address(), Store: l.proxy.Listen, Fleet: s.fleet},
+		file:  filepath.Join(s.opt.Dir, name+".conf"), log: filepath.Join(s.opt.Dir, name+".log"), store: l,
+	}
+	s.writeSettings(en)
+	s.entries = append(s.entries, en)
+	s.startEntry(en)
+	return nil
+}
+
+func (s *Soak) writeSettings(en *entry) {
+	if err := os.WriteFile(en.file, []byte(s.site.Settings(&en.Entry)), 0o600); err != nil {
+		s.check("SOAK", false, "%v", err)
+	}
+}
+
+// startEntry starts an entry's process, and watches that it doesn't end by itself.
+func (s *Soak) startEntry(en *entry) {
+	if s.opt.plant.noRestart && en.process() != nil {
+		return
+	}
+	p, err := s.starter.start(en.log, s.opt.Program, "node", "-settings", en.file)
+	if err != nil {
+		s.check("SOAK", false, "%v", err)
+		return
+	}
+	en.proc.Store(p)
+	go func() {
+		<-p.done
+		s.check("EXIT", p.stopped.Load(), "%s ended by itself: %s", en.Name, p.cmd.ProcessState)
+	}()
+}
+
+// addWorker adds a worker with a new ID.
+func (s *Soak) addWorker() error {
+	s.mu.Lock()
+	n := s.nextWorker
+	s.nextWorker++
+	s.mu.Unlock()
+	id := fmt.Sprintf("w%02d", n)
+	address, err := s.serve(s.site.WorkerHandler(id))
+	if err != nil {
+		return err
+	}
+	l, err := s.newLink(id, address)
+	if err != nil {
+		return err
+	}
+	rack := fmt.Sprintf("r%d", n%2)
+	w := &worker{link: l, Worker: hosts.Worker{
+		ID: id, Pool: site.Pool, Address: l.proxy.Listen, Centre: "z1", Capacity: capacity, Labels: []string{"plain", rack}, Rack: rack, Host: "m" + id,
+	}}
+	s.workers.Join(w.Worker)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool = append(s.pool, w)
+	return nil
+}
+
+// worker returns one of the workers.
+func (s *Soak) worker(pick int) *worker {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool[pick%len(s.pool)]
+}
+
+func (s *Soak) removeWorker(w *worker) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.pool {
+		if s.pool[i] == w {
+			s.pool = append(s.pool[:i:i], s.pool[i+1:]...)
+			return
+		}
+	}
+}
+
+// Close ends the entries and the stand-ins.
+func (s *Soak) Close() {
+	for _, en := range s.entries {
+		if p := en.process(); p != nil {
+			p.kill()
+		}
+	}
+	s.starter.close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, f := range s.closers {
+		f()
+	}
+	if s.net != nil {
+		s.net.close()
+	}
+	s.caller.Close()
+	_ = s.logs.Close()
+}
+
+// Run runs the load and the faults until the schedule is over and all jobs have ended.
+func (s *Soak) Run(ctx context.Context, progress func(Report)) Report {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	background, stop := context.WithCancel(ctx)
+	defer stop()
+	s.checks.onViolation = func(promise string) {
+		if s.opt.plant.promise == promise {
+			cancel()
+		}
+	}
+	go every(background, site.Heartbeat, func() { s.site.Beat(func(string) bool { return true }) })
+	go every(background, violationsPeriod, s.readViolations)
+	go every(background, time.Second, func() { progress(s.report()) })
+	s.awaitReady(ctx)
+	s.begun = time.Now()
+	traffic, stopTraffic := context.WithTimeout(ctx, s.opt.For)
+	defer stopTraffic()
+	life, endLife := context.WithCancel(ctx)
+	var jobs errgroup.Group
+	var planned sync.WaitGroup
+	planned.Go(func() { s.runFaults(traffic) })
+	r := rand.New(rand.NewPCG(s.opt.Seed, streamLoad))
+	s.runLoad(traffic, life, &jobs, r)
+	planned.Wait()
+	last := s.checks.awaitEnd(ctx)
+	settle, done := context.WithTimeout(ctx, s.opt.Settle)
+	defer done()
+	s.settle(settle, last, &jobs, endLife, r)
+	s.readViolations()
+	return s.report()
+}
+
+// runFaults causes the faults of the schedule until the context ends.
+func (s *Soak) runFaults(ctx context.Context) {
+	events := s.opt.plant.events
+	if s.opt.plant.promise == "" {
+		events = schedule(s.opt.Seed, s.opt.For)
+	}
+	for _, e := range events {
+		wait(ctx, time.Until(s.begun.Add(e.At)))
+		if ctx.Err() != nil {
+			return
+		}
+		s.checks.log.Info().Str("kind", e.Kind).Dur("for", e.For).Int("pick", e.Pick).Float64("size", e.Size).Msg("fault")
+		end := s.checks.disturb(faults[e.Kind].gentle)
+		go func() {
+			s.checks.countFault(e.Kind, faults[e.Kind].run(ctx, s, e))
+			end()
+		}()
+	}
+}
+
+// readyLimit is how long the first start of the entries may take.
+const readyLimit = 15 * time.Second
+
+func (s *Soak) awaitReady(ctx context.Context) {
+	end := time.Now().Add(readyLimit)
+	for _, en := range s.entries {
+		for !s.caller.Ready(ctx, en.Readiness) && ctx.Err() == nil {
+			if time.Now().After(end) {
+				s.check("RECOVER", false, "%s is not ready %s after its start", en.Name, readyLimit)
+				return
+			}
+			wait(ctx, 50*time.Millisecond)
+		}
+	}
+}
+
+// every calls f now and then every period, until the context ends.
+func every(ctx context.Context, period time.Duration, f func()) {
+	for ctx.Err() == nil {
+		f()
+		wait(ctx, period)
+	}
+}
+
+// loopback hands out addresses of one loopback network, which no outgoing connection of
+// another program can take.
+type loopback struct {
+	prefix string
+	hold   net.Listener // keeps other soaks off the network
+	port   atomic.Int32
+}
+
+// firstPort is the first port of a loopback network's addresses.
+const firstPort = 20000
+
+func newLoopback() (*loopback, error) {
+	for range 100 {
+		prefix := fmt.Sprintf("127.%d.%d.", 1+rand.IntN(254), rand.IntN(255))
+		l, err := net.Listen("tcp", prefix+"254:7000")
+		if err != nil {
+			continue
+		}
+		n := &loopback{prefix: prefix, hold: l}
+		n.port.Store(firstPort)
+		return n, nil
+	}
+	return nil, fmt.Errorf("soak: no loopback network is free")
+}
+
+func (n *loopback) address() string { return fmt.Sprintf("%s1:%d", n.prefix, n.port.Add(1)) }
+
+func (n *loopback) close() { _ = n.hold.Close() }
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"shallotpaddle/fakes/site"
+	"shallotpaddle/hosts"
+	"shallotpaddle/runs"
+	"shallotpaddle/steps"
+)
+
+// program is the path of the program that TestMain builds.
+var program string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		panic(err)
+	}
+	logrus.SetOutput(io.Discard) // the fault proxy logs each connection
+	program = filepath.Join(dir, "shallotpaddle")
+	build := exec.Command("go", "build", "-o", program, "shallotpaddle")
+	build.Stderr = os.Stderr
+	code := 1
+	if err := build.Run(); err == nil {
+		code = m.Run()
+	}
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// runSoak runs a soak, and logs its report and the soak's log if the test fails.
+func runSoak(t *testing.T, opt Options) Report {
+	t.Helper()
+	opt.Program, opt.Dir = program, t.TempDir()
+	s, err := New(opt)
+	require.NoError(t, err)
+	defer s.Close()
+	r := s.Run(context.Background(), func(Report) {})
+	t.Cleanup(func() {
+		if t.Failed() {
+			var text strings.Builder
+			r.writeText(&text)
+			t.Log(text.String())
+		}
+	})
+	return r
+}
+
+// TestSeeds runs short soaks of the program.
+func TestSeeds(t *testing.T) {
+	for _, seed := range []uint64{1} {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			r := runSoak(t, Options{Seed: seed, For: 10 * time.Second, Entries: 3, Workers: 8, Rate: 6, Settle: 40 * time.Second})
+			require.Empty(t, r.Violations)
+			require.NotEmpty(t, r.Faults)
+			require.Positive(t, r.Jobs["ended"])
+		})
+	}
+}
+
+// TestSchedule checks that a seed gives a schedule.
+func TestSchedule(t *testing.T) {
+	first := schedule(7, time.Minute)
+	require.NotEmpty(t, first)
+	require.Equal(t, first, schedule(7, time.Minute))
+	require.NotEqual(t, first, schedule(8, time.Minute))
+}
+
+// everyFourth tells whether a key under a prefix is one of four that are picked.
+func everyFourth(prefix string) func(key string) bool {
+	return func(key string) bool {
+		return strings.HasPrefix(key, prefix) && strings.ContainsAny(key[len(key)-1:], "0123")
+	}
+}
+
+// shownAs returns a twist of the ends in workers' reports.
+func shownAs(from, to runs.Outcome) site.Twists {
+	return site.Twists{End: func(e runs.End) runs.End {
+		if e.Outcome == from {
+			e.Outcome = to
+		}
+		return e
+	}}
+}
+
+// chain makes a job a chain of n steps.
+func chain(n, failFirst int) func(l *load) {
+	return func(l *load) {
+		*l = load{Job: steps.Job{ID: l.ID, Payload: l.Payload, MaxAttempts: maxAttempts}, length: 800 * time.Millisecond, failFirst: failFirst}
+		for i := range n {
+			s := steps.Step{Count: 2, CPU: 400, Mem: 200}
+			if i > 0 {
+				s.After = []int{i - 1}
+			}
+			l.Steps = append(l.Steps, s)
+		}
+	}
+}
+
+// TestPlants plants a fault for each promise, which the soak must notice.
+func TestPlants(t *testing.T) {
+	for name, p := range map[string]plant{
+		"accepted jobs are not stored":   {promise: "KNOWN", Twists: site.Twists{LosePut: everyFourth("job/")}},
+		"accepted jobs are not heard of": {promise: "ENDS", Twists: site.Twists{HideKey: everyFourth("job/")}},
+		"running jobs are shown as completed": {promise: "STATE", answer: func(_ string, status int, state string) (int, string) {
+			return status, strings.Replace(state, "running", "completed", 1)
+		}},
+		"running jobs are shown as failed": {promise: "STATE", answer: func(_ string, status int, state string) (int, string) {
+			return status, strings.Replace(state, "running", "failed", 1)
+		}},
+		"accepted jobs are answered 503":      {promise: "REFUSED", answer: func(string, int, string) (int, string) { return 503, "" }},
+		"starts are carried out twice":        {promise: "TWICE", Twists: site.Twists{CopyStart: func(w string, _ runs.Start) string { return map[string]string{"w00": "w01"}[w] }}},
+		"ends as done are shown as failed":    {promise: "TWICE", Twists: shownAs(runs.Done, runs.Failed)},
+		"ends as failed are shown as done":    {promise: "ORDER", Twists: shownAs(runs.Failed, runs.Done), load: chain(2, 1)},
+		"capacity is shown as double":         {promise: "LIMIT", load: func(l *load) { l.Steps[0].Count, l.Steps[0].CPU = 20, 1000 }, Twists: site.Twists{Worker: func(w hosts.Worker) hosts.Worker { w.Capacity.CPU *= 2; return w }}},
+		"ends as failed are shown as stopped": {promise: "BUDGET", Twists: shownAs(runs.Failed, runs.Stopped), load: chain(1, lasts)},
+		"the bound for each worker is lost": {promise: "ROUTE", load: func(l *load) { l.Steps[0].Count, l.Steps[0].MaxPerWorker = 9, 1 }, apart: func(j steps.Job) *steps.Job {
+			j.Steps = []steps.Step{j.Steps[0]}
+			j.Steps[0].MaxPerWorker = 0
+			return &j
+		}},
+		"another payload is handed in":        {promise: "UNASKED", apart: func(j steps.Job) *steps.Job { j.Payload += "?"; return &j }},
+		"cancels are lost":                    {promise: "UNASKED", noCancel: true, load: func(l *load) { chain(8, 0)(l); l.cancelAt = time.Millisecond }},
+		"draining workers are shown as ready": {promise: "DRAIN", events: []event{{Kind: "worker drained", At: time.Second, For: 6 * time.Second}}, Twists: site.Twists{Worker: func(w hosts.Worker) hosts.Worker { w.Draining = false; return w }}},
+		"entries that were killed stay dead":  {promise: "RECOVER", noRestart: true, events: []event{{Kind: "all entries killed", At: time.Second}}},
+		"entries end for faults of settings":  {promise: "EXIT", Twists: site.Twists{Settings: func(lines []string) []string { return append(lines, "Bounds.GraceS=x") }}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			begun := time.Now()
+			r := runSoak(t, Options{Seed: 1, For: 8 * time.Second, Entries: 1, Workers: 4, Rate: 8, Settle: 14 * time.Second, plant: p})
+			require.Positive(t, r.broken(p.promise), "not noticed")
+			t.Logf("noticed after %s", time.Since(begun).Round(10*time.Millisecond))
+		})
+	}
+}
