--- a/soak/load.go
+++ b/soak/load.go
@@ -229,7 +229,9 @@
 		}
 		wait(life, askPeriod)
 	}
-	c.soak.check("ENDS", false, "%s is %q when the soak ends", l.ID, l.state)
+	if !c.soak.interrupted() {
+		c.soak.check("ENDS", false, "%s is %q when the soak ends", l.ID, l.state)
+	}
 }
 
 // ask asks for the state of the job, and returns whether it has ended.
@@ -292,6 +294,9 @@
 		}
 		wait(ctx, askPeriod)
 	}
+	if c.soak.interrupted() {
+		return
+	}
 	c.soak.check("ENDS", n == c.load.Steps[0].Count, "%s lasts, and %d of %d subtasks are running", c.load.ID, n, c.load.Steps[0].Count)
 }
 
--- a/soak/main.go
+++ b/soak/main.go
@@ -4,7 +4,8 @@
 //
 // Usage: soak -seed N -for D -processes N -log DIR
 //
-// It exits with 0 if every promise held, 1 if one was broken, 2 for wrong arguments.
+// It exits with 0 if every promise held, 1 if one was broken or the soak was interrupted, 2
+// for wrong arguments.
 package main
 
 import (
@@ -37,6 +38,7 @@
 	f.SetOutput(stderr)
 	f.Uint64Var(&opt.Seed, "seed", 1, "`number` that gives the schedule of faults and the load")
 	f.DurationVar(&opt.For, "for", 20*time.Second, "`time` for which there are faults")
+	f.DurationVar(&opt.Gap, "gap", 700*time.Millisecond, "mean `pause` between the begins of two faults")
 	f.IntVar(&opt.Entries, "processes", 3, "`number` of entries")
 	f.IntVar(&opt.Workers, "workers", 8, "`number` of workers")
 	f.Float64Var(&opt.Rate, "rate", 6, "jobs handed in per second, on average")
@@ -46,7 +48,7 @@
 	if err := f.Parse(args); err != nil {
 		return exitUsage
 	}
-	if f.NArg() > 0 || opt.Entries < 1 || opt.Workers < 2 || opt.For <= 0 || opt.Rate <= 0 {
+	if f.NArg() > 0 || opt.Entries < 1 || opt.Workers < 2 || opt.For <= 0 || opt.Gap <= 0 || opt.Rate <= 0 {
 		fmt.Fprintln(stderr, "soak: wrong arguments; see -help")
 		return exitUsage
 	}
@@ -58,7 +60,7 @@
 		return exitBroken
 	}
 	r.writeText(stdout)
-	if len(r.Violations) > 0 || ctx.Err() != nil {
+	if len(r.Violations) > 0 || r.Interrupted {
 		return exitBroken
 	}
 	return exitOK
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -24,18 +24,15 @@
 	Size float64 // of the fault, from 0 to 1
 }
 
-// Pauses between the begins of two faults, by which some overlap and others follow each
-// other.
-const (
-	minGap = 50 * time.Millisecond
-	maxGap = 1500 * time.Millisecond
-)
+// minGap is the shortest pause between the begins of two faults.
+const minGap = 50 * time.Millisecond
 
 // firstFault is when the first fault begins: the first jobs are at work by then.
 const firstFault = 1500 * time.Millisecond
 
-// schedule returns the faults that begin within d.
-func schedule(seed uint64, d time.Duration) []event {
+// schedule returns the faults that begin within d, with a mean pause of gap between two:
+// some overlap, and others follow each other.
+func schedule(seed uint64, d, gap time.Duration) []event {
 	r := rand.New(rand.NewPCG(seed, streamFaults))
 	var kinds []string
 	for _, name := range slices.Sorted(maps.Keys(faults)) {
@@ -44,7 +41,7 @@
 		}
 	}
 	var out []event
-	for at := firstFault; at < d; at += minGap + time.Duration(r.Float64()*float64(maxGap-minGap)) {
+	for at := firstFault; at < d; at += minGap + time.Duration(r.Float64()*2*float64(gap)) {
 		kind := kinds[r.IntN(len(kinds))]
 		f := faults[kind]
 		length := f.least + time.Duration(r.Float64()*float64(f.most-f.least))
--- a/soak/report.go
+++ b/soak/report.go
@@ -29,6 +29,7 @@
 	SlowestRecovery time.Duration  `json:"slowest_recovery_ns"`
 	Checks          map[string]int `json:"checks"` // by promise
 	Violations      []Violation    `json:"violations"`
+	Interrupted     bool           `json:"interrupted,omitempty"`
 }
 
 // counts returns counts as text, ordered by name.
@@ -61,6 +62,9 @@
 		fmt.Fprintf(t, "%s\t%d\t%d\t%s\n", p.name, r.Checks[p.name], r.broken(p.name), p.text)
 	}
 	_ = t.Flush() // w reports its errors itself
+	if r.Interrupted {
+		fmt.Fprintln(w, "\ninterrupted")
+	}
 	for _, v := range r.Violations {
 		fmt.Fprintf(w, "\n%s at %s: %s", v.Promise, v.At.Round(time.Millisecond), v.Text)
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -26,6 +26,7 @@
 type Options struct {
 	Seed    uint64
 	For     time.Duration // how long there are faults
+	Gap     time.Duration // mean pause between two faults
 	Entries int           // number of processes
 	Workers int
 	Rate    float64 // jobs handed in per second
@@ -75,6 +76,7 @@
 
 	storeFault  atomic.Pointer[func(op, key string) fakes.CallFault]
 	busyWorkers atomic.Int64
+	interrupted func() bool
 	checks      *checks
 
 	mu         sync.Mutex
@@ -291,6 +293,7 @@
 func (s *Soak) Run(ctx context.Context, progress func(Report)) Report {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	s.interrupted = func() bool { return ctx.Err() != nil }
 	background, stop := context.WithCancel(ctx)
 	defer stop()
 	s.checks.onViolation = func(promise string) {
@@ -317,14 +320,16 @@
 	defer done()
 	s.settle(settle, last, &jobs, endLife, r)
 	s.readViolations()
-	return s.report()
+	out := s.report()
+	out.Interrupted = ctx.Err() != nil
+	return out
 }
 
 // runFaults causes the faults of the schedule until the context ends.
 func (s *Soak) runFaults(ctx context.Context) {
 	events := s.opt.plant.events
 	if s.opt.plant.promise == "" {
-		events = schedule(s.opt.Seed, s.opt.For)
+		events = schedule(s.opt.Seed, s.opt.For, s.opt.Gap)
 	}
 	for _, e := range events {
 		wait(ctx, time.Until(s.begun.Add(e.At)))
