soak: two pools, moves, waves and changed configurations

What: the stand-in has a fleet service that moves and maintains machines, two queues with a pool each, and configurations that add queues. New promises: ONE (one sender for each token of orders on machines), MIXED (waves), CONFIG (in force in time, never back); ROUTE also covers the pool, in the checker that all stand-ins share. Delays also hold calls up, so that they are carried out late.

Why: with one pool the fleet controller had nothing to do, and orders on machines were never checked against faults.

--- a/fakes/check.go
+++ b/fakes/check.go
@@ -45,6 +45,13 @@
 	return most
 }
 
+// Violate records the text of a broken rule that another stand-in has found.
+func (ws *WorkerSet) Violate(text string) {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	ws.violations = append(ws.violations, text)
+}
+
 // Up tells whether a worker is up.
 func (ws *WorkerSet) Up(id string) bool {
 	ws.mu.Lock()
@@ -107,6 +114,9 @@
 			same++
 		}
 	}
+	if pool := ws.PoolOf[j.Queue]; pool != "" && pool != w.Pool {
+		ws.recordViolation("ROUTE %s on %s, a worker of %s", s.Task, w.ID, w.Pool)
+	}
 	if step.MaxPerWorker > 0 && same >= step.MaxPerWorker {
 		ws.recordViolation("ROUTE %s exceeds the number of subtasks per worker", s.Task)
 	}
--- a/fakes/site/caller.go
+++ b/fakes/site/caller.go
@@ -21,6 +21,7 @@
 	Yes                  // accepted, cancelled, or the state is given
 	Rejected             // not accepted; the job never runs
 	Gone                 // no such job
+	NoQueue              // no such queue; a job that was handed in never runs
 )
 
 // Caller sends callers' requests, on connections that it keeps open.
@@ -67,19 +68,26 @@
 	if err != nil {
 		return NoAnswer
 	}
-	word, _, _ := c.call(ctx, http.MethodPost, address, j.ID, b)
+	word, _, _ := c.call(ctx, http.MethodPost, address, prefix(j.Queue)+j.ID, b)
 	return word
 }
 
 // State asks for the state of a job.
-func (c *Caller) State(ctx context.Context, address, id string) (Word, string) {
-	word, state, _ := c.call(ctx, http.MethodGet, address, id, nil)
+func (c *Caller) State(ctx context.Context, address string, j *steps.Job) (Word, string) {
+	word, state, _ := c.call(ctx, http.MethodGet, address, prefix(j.Queue)+j.ID, nil)
 	return word, state
 }
 
 // Cancel cancels a job.
-func (c *Caller) Cancel(ctx context.Context, address, id string) Word {
-	word, _, _ := c.call(ctx, http.MethodDelete, address, id, nil)
+func (c *Caller) Cancel(ctx context.Context, address string, j *steps.Job) Word {
+	word, _, _ := c.call(ctx, http.MethodDelete, address, prefix(j.Queue)+j.ID, nil)
+	return word
+}
+
+// Pending asks for the number of waiting jobs of a queue, and tells whether there is such
+// a queue.
+func (c *Caller) Pending(ctx context.Context, address, queue string) Word {
+	word, _, _ := c.call(ctx, http.MethodGet, address, prefix(queue), nil)
 	return word
 }
 
@@ -97,8 +105,8 @@
 	return res.StatusCode == http.StatusOK
 }
 
-func (c *Caller) call(ctx context.Context, method, address, id string, body []byte) (Word, string, error) {
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+prefix+id, bytes.NewReader(body))
+func (c *Caller) call(ctx context.Context, method, address, path string, body []byte) (Word, string, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
 		return NoAnswer, "", fmt.Errorf("site: %w", err)
 	}
@@ -128,7 +136,9 @@
 		return Yes
 	case status == http.StatusGone:
 		return Gone
-	case method == http.MethodPost && (status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable || status == http.StatusNotFound):
+	case status == http.StatusNotFound:
+		return NoQueue
+	case method == http.MethodPost && (status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable):
 		return Rejected
 	default:
 		return NoAnswer
--- a/fakes/site/site.go
+++ b/fakes/site/site.go
@@ -7,6 +7,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -15,6 +16,7 @@
 
 	"shallotpaddle/fakes"
 	"shallotpaddle/hosts"
+	"shallotpaddle/plat"
 	"shallotpaddle/platform"
 	"shallotpaddle/runs"
 )
@@ -27,21 +29,26 @@
 	Worker func(hosts.Worker) hosts.Worker
 	// LosePut tells whether a write of a key is acknowledged and lost.
 	LosePut func(key string) bool
-	// HideKey tells whether a key is left out of lists and watches.
-	HideKey func(key string) bool
+	// HideItem tells whether an item is left out of lists and watches.
+	HideItem func(plat.Item) bool
 	// CopyStart returns the worker that starts a run as well, or "".
 	CopyStart func(worker string, s runs.Start) string
+	// Sender changes the holder and the token of an order on a machine.
+	Sender func(holder string, fence int64) (string, int64)
+	// SkipOrder tells whether an order on a machine is answered and not carried out.
+	SkipOrder func(machine string) bool
 	// Settings changes the lines of an entry's settings.
 	Settings func(lines []string) []string
 }
 
-// Names of the one route of a Site.
-const (
-	Queue  = "soak"
-	Pool   = "soakers"
-	host   = "soak.example"
-	prefix = "/soak/"
-)
+// host is the host name of all routes.
+const host = "soak.example"
+
+// Pools are the pools by queue, of the queues that every configuration has.
+var Pools = map[string]string{"soak": "soakers", "bake": "bakers"}
+
+// prefix returns the path under which a queue's jobs are handed in.
+func prefix(queue string) string { return "/" + queue + "/" }
 
 // Times of the platform, as the settings state them.
 const (
@@ -58,33 +65,47 @@
 	workers *fakes.WorkerSet
 	twists  Twists
 
+	hooks Machines
+
 	mu       sync.Mutex
 	lastBeat map[string]time.Time // by worker ID, of those that are registered
 	sequence int64
+	machines map[string]*machine
+	waves    map[string]*wave // by number
+	orders   int              // number of orders on machines that were carried out
 }
 
 // New returns a site.
-func New(kv *fakes.KV, workers *fakes.WorkerSet, twists Twists) *Site {
-	return &Site{kv: kv, workers: workers, twists: twists, lastBeat: map[string]time.Time{}}
+func New(kv *fakes.KV, workers *fakes.WorkerSet, hooks Machines, twists Twists) *Site {
+	return &Site{
+		kv: kv, workers: workers, twists: twists, hooks: hooks, lastBeat: map[string]time.Time{},
+		machines: map[string]*machine{}, waves: map[string]*wave{},
+	}
 }
 
-// PutConfig writes the operator's configuration.
-func (s *Site) PutConfig(version int64, maxAttempts int) {
-	c := struct {
-		Version  int64
-		Routes   []any
-		Services []any
-		Limits   any
-	}{
-		Version: version,
-		Routes: []any{map[string]any{
-			"Name": Queue, "Host": host, "Prefix": prefix, "Service": Pool, "MaxAttempts": maxAttempts,
+// ExtraQueue returns the name of a queue that configurations with more than n extra ones
+// have.
+func ExtraQueue(n int) string { return fmt.Sprintf("extra%d", n) }
+
+// PutConfig writes the operator's configuration, with a number of extra queues.
+func (s *Site) PutConfig(version int64, maxAttempts, extra int) {
+	pools := maps.Clone(Pools)
+	for n := range extra {
+		pools[ExtraQueue(n)] = Pools["soak"]
+	}
+	var routes, services []any
+	for _, queue := range slices.Sorted(maps.Keys(pools)) {
+		routes = append(routes, map[string]any{
+			"Name": queue, "Host": host, "Prefix": prefix(queue), "Service": pools[queue], "MaxAttempts": maxAttempts,
 			"SlackFactor": 3, "TargetDurationMs": 1000,
-		}},
-		Services: []any{map[string]any{"Name": Pool}},
-		Limits:   map[string]any{"MaxBodyBytes": 1 << 20},
+		})
 	}
-	b, _ := json.Marshal(c) // encoding plain values can't fail
+	for _, pool := range slices.Sorted(maps.Values(Pools)) {
+		services = append(services, map[string]any{"Name": pool})
+	}
+	b, _ := json.Marshal(map[string]any{ // encoding plain values can't fail
+		"Version": version, "Routes": routes, "Services": services, "Limits": map[string]any{"MaxBodyBytes": 1 << 20},
+	})
 	s.kv.Put(platform.OperatorPrefix+"config", b)
 }
 
@@ -132,26 +153,6 @@
 	return b
 }
 
-// FleetHandler serves the list of hosts, and refuses orders: the pool has no other to
-// exchange hosts with, and there are no waves.
-func (s *Site) FleetHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /-/machines", func(w http.ResponseWriter, _ *http.Request) {
-		list := []any{}
-		for _, v := range s.workers.Registered() {
-			list = append(list, map[string]any{
-				"Machine": v.Host, "Pool": v.Pool, "State": hosts.Up, "Zone": v.Centre, "Labels": v.Labels,
-				"Capacity": capacity(v.Capacity), "Id": v.ID,
-			})
-		}
-		reply(w, http.StatusOK, map[string]any{"Machines": list})
-	})
-	mux.HandleFunc("POST /-/", func(w http.ResponseWriter, _ *http.Request) {
-		reply(w, http.StatusConflict, map[string]any{"Reason": "busy"})
-	})
-	return mux
-}
-
 // Entry is what the settings say of one entry.
 type Entry struct {
 	Name, Callers, Readiness string // addresses are IP:port
@@ -167,6 +168,7 @@
 		"platform.Address=" + e.Store, "Cloud.Address=" + e.Fleet, "Limits.MaxFds=4100",
 		fmt.Sprintf("HeartbeatMs=%d", Heartbeat.Milliseconds()), fmt.Sprintf("Bounds.GraceS=%g", GracePeriod.Seconds()),
 		fmt.Sprintf("Bounds.HoldMaxMs=%d", MaxLease.Milliseconds()), "Bounds.StopMs=200", "Bounds.DrainMs=2000",
+		fmt.Sprintf("Bounds.MigrationS=%g", moveTime.Seconds()), fmt.Sprintf("Bounds.MaintenanceS=%g", maintenanceTime.Seconds()),
 		fmt.Sprintf("Bounds.status_s=%d", 120+e.Reloads),
 	}
 	if s.twists.Settings != nil {
--- a/fakes/site/store.go
+++ b/fakes/site/store.go
@@ -67,12 +67,12 @@
 	reply(w, http.StatusOK, item{it.Key, it.Value, it.Rev, false})
 }
 
-// visible leaves out the items that Twists.HideKey hides.
+// visible leaves out the items that Twists.HideItem hides.
 func (s *Site) visible(items []plat.Item) []plat.Item {
-	if s.twists.HideKey == nil {
+	if s.twists.HideItem == nil {
 		return items
 	}
-	return slices.DeleteFunc(items, func(it plat.Item) bool { return s.twists.HideKey(it.Key) })
+	return slices.DeleteFunc(items, s.twists.HideItem)
 }
 
 func (s *Site) list(w http.ResponseWriter, r *http.Request) {
--- a/fakes/workerset.go
+++ b/fakes/workerset.go
@@ -33,6 +33,9 @@
 	// CrashesWorker tells whether a subtask crashes each worker that starts it; nil stands
 	// for never.
 	CrashesWorker func(t runs.Task) bool
+	// PoolOf has the pools by queue, of the queues whose jobs may run on workers of no other
+	// pool. It is set before the first call.
+	PoolOf map[string]string
 	// MaxLease is the longest lease that a worker accepts.
 	MaxLease time.Duration
 
--- a/soak/check.go
+++ b/soak/check.go
@@ -24,6 +24,9 @@
 	{"ROUTE", "no more subtasks on a worker than the step allows"},
 	{"UNASKED", "nothing starts that was not handed in, or was cancelled"},
 	{"DRAIN", "nothing starts on a worker that leaves"},
+	{"ONE", "orders for a machine have one sender for each token"},
+	{"MIXED", "a wave is completed when it is shown so, and in the end"},
+	{"CONFIG", "a configuration is in force in time, and never back"},
 	{"RECOVER", "hand-ins are accepted soon after the last fault"},
 	{"EXIT", "a process ends when told to, in time, and never by itself"},
 	{"SOAK", "the soak itself works"},
@@ -190,7 +193,7 @@
 		r.Jobs[l.status.String()]++
 	}
 	s.mu.Unlock()
-	r.Starts = s.workers.Starts()
+	r.Starts, r.Orders = s.workers.Starts(), s.site.Orders()
 	s.checks.mu.Lock()
 	defer s.checks.mu.Unlock()
 	c := s.checks
@@ -200,5 +203,6 @@
 	for _, name := range checkedAtStart {
 		r.Checks[name] += r.Starts
 	}
+	r.Checks["ONE"] += r.Orders
 	return r
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -48,6 +49,8 @@
 		"store writes late":     {2, time.Second, 3 * time.Second, false, storeFault(fakes.DelayCall, 0.2)},
 		"store slow":            {1, time.Second, 3 * time.Second, false, slowStore},
 		"store history dropped": {1, 0, 0, true, func(_ context.Context, s *Soak, _ event) bool { s.kv.Compact(); return true }},
+		"wave":                  {1, 0, 0, true, startWave},
+		"configuration":         {2, 0, 0, true, changeConfig},
 		"worker crashed":        {3, 500 * time.Millisecond, 4 * time.Second, true, onWorker(crashWorker)},
 		"worker drained":        {2, 2500 * time.Millisecond, 5 * time.Second, true, onWorker(drainWorker)},
 		"worker shrunk":         {1, 6 * time.Second, 8 * time.Second, true, onWorker(shrinkWorker)},
@@ -150,9 +153,10 @@
 // to workers time out after 700 ms, those to the store after 1,200 ms.
 const maxDelay = 1500
 
+// delay delays the calls, so that they are carried out late, or the answers.
 func delay(ctx context.Context, l *link, e event) {
 	ms := 20 + int(e.Size*e.Size*maxDelay)
-	undo := l.toxic("latency", "downstream", 1, fmt.Sprintf(`{"latency":%d,"jitter":%d}`, ms, ms/2))
+	undo := l.toxic("latency", streamOf(e), 1, fmt.Sprintf(`{"latency":%d,"jitter":%d}`, ms, ms/2))
 	defer undo()
 	wait(ctx, e.For)
 }
@@ -167,14 +171,18 @@
 
 // oneWay drops all bytes in one direction.
 func oneWay(ctx context.Context, l *link, e event) {
-	stream := "upstream"
-	if e.Size < 0.5 {
-		stream = "downstream"
-	}
-	defer l.toxic("timeout", stream, 1, `{"timeout":0}`)()
+	defer l.toxic("timeout", streamOf(e), 1, `{"timeout":0}`)()
 	wait(ctx, e.For)
 }
 
+// streamOf returns the direction of a fault that has one.
+func streamOf(e event) string {
+	if e.Pick/2%2 == 0 {
+		return "upstream"
+	}
+	return "downstream"
+}
+
 // silence drops all bytes of some connections, while others work.
 func silence(ctx context.Context, l *link, e event) {
 	share := 0.3 + 0.7*e.Size
@@ -237,18 +245,25 @@
 	s.workers.Crash(w.ID)
 	w.link.cut()
 	wait(ctx, e.For)
-	w.link.join()
-	s.workers.Join(w.Worker)
+	if s.has(w) {
+		w.link.join()
+		s.workers.Join(w.Worker)
+	}
 }
 
 // drainWorker makes a worker leave; another one takes its place.
 func drainWorker(ctx context.Context, s *Soak, w *worker, e event) {
 	s.workers.Drain(w.ID, drainNotice)
-	s.addWorker()
+	s.mu.Lock()
+	name := fmt.Sprintf("m%02d", s.nextWorker)
+	s.mu.Unlock()
+	s.returnMachine(name, w.Pool)
 	wait(ctx, e.For)
-	s.workers.Crash(w.ID)
-	w.link.cut() // for good
-	s.removeWorker(w)
+	if s.has(w) {
+		s.workers.Crash(w.ID)
+		s.dropWorker(w.Worker)
+		s.site.Leave(w.Host)
+	}
 }
 
 // drainNotice is the least time from a worker's notice to its end.
@@ -261,6 +276,36 @@
 	s.workers.SetCapacity(w.ID, capacity)
 }
 
+// Waves.
+const (
+	waveSize = 3 // machines
+	waveTime = 15 * time.Second
+)
+
+// startWave requests the maintenance of some machines.
+func startWave(_ context.Context, s *Soak, e event) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var machines []string
+	for i := range min(waveSize, len(s.pool)) {
+		machines = append(machines, s.pool[(e.Pick+i)%len(s.pool)].Host)
+	}
+	s.waves++
+	s.site.PutWave(strconv.Itoa(s.waves), machines, waveTime, 1+e.Pick%2)
+	return true
+}
+
+// changeConfig adds a queue to the configuration.
+func changeConfig(_ context.Context, s *Soak, _ event) bool {
+	s.mu.Lock()
+	s.configs++
+	n := s.configs
+	s.configAt = time.Now()
+	s.mu.Unlock()
+	s.site.PutConfig(int64(1+3*n), maxAttempts, n)
+	return true
+}
+
 // wait waits for d, or until the context ends.
 func wait(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- a/soak/load.go
+++ b/soak/load.go
@@ -71,6 +71,7 @@
 	step := func(after ...int) steps.Step {
 		return steps.Step{Count: 1 + r.IntN(5), CPU: 400 + 200*r.IntN(6), Mem: 200, EstimateMs: l.length.Milliseconds(), After: after}
 	}
+	l.Queue = []string{"soak", "bake"}[r.IntN(2)]
 	l.Steps = []steps.Step{step()}
 	first := &l.Steps[0]
 	switch n := r.IntN(100); {
@@ -185,7 +186,7 @@
 			c.setStatus(accepted)
 			c.soak.checks.accepted(begun)
 			return true
-		case site.Rejected:
+		case site.Rejected, site.NoQueue:
 			if try == 0 {
 				c.refuse()
 				return false
@@ -237,7 +238,7 @@
 // ask asks for the state of the job, and returns whether it has ended.
 func (c *client) ask(ctx context.Context) bool {
 	l, s, address := c.load, c.soak, c.address()
-	word, state := s.caller.State(ctx, address, l.ID)
+	word, state := s.caller.State(ctx, address, &l.Job)
 	if word == site.Gone {
 		s.check("KNOWN", false, "%s is not known at %s", l.ID, address)
 	}
@@ -271,7 +272,7 @@
 func (c *client) cancel(ctx context.Context) {
 	c.load.cancelSent = true
 	for ctx.Err() == nil {
-		if c.soak.opt.plant.noCancel || c.soak.caller.Cancel(ctx, c.address(), c.load.ID) == site.Yes {
+		if c.soak.opt.plant.noCancel || c.soak.caller.Cancel(ctx, c.address(), &c.load.Job) == site.Yes {
 			c.soak.workers.RecordCancel(c.load.ID)
 			return
 		}
@@ -317,6 +318,7 @@
 	}
 	endLife()
 	once.Wait()
+	s.awaitWaves(ctx)
 	end := time.Now().Add(lingerLimit)
 	for len(s.workers.Running()) > 0 && time.Now().Before(end) && ctx.Err() == nil {
 		wait(ctx, askPeriod)
--- a/soak/report.go
+++ b/soak/report.go
@@ -21,6 +21,7 @@
 	Took    time.Duration  `json:"took_ns"`
 	Jobs    map[string]int `json:"jobs"` // by what their callers know of them
 	Starts  int            `json:"starts"`
+	Orders  int            `json:"orders"` // moves and maintenance of machines
 	Faults  map[string]int `json:"faults"` // by kind
 	// Skipped is the number of faults that others excluded, Excused of those violations
 	// that don't count because of a fault.
@@ -53,7 +54,7 @@
 // writeText writes the report as text.
 func (r *Report) writeText(w io.Writer) {
 	fmt.Fprintf(w, "seed %d: %d entries, %d workers, %s\n", r.Seed, r.Entries, r.Workers, r.Took.Round(100*time.Millisecond))
-	fmt.Fprintf(w, "jobs: %s; %d starts, %.1f a second\n", counts(r.Jobs), r.Starts, float64(r.Starts)/r.Took.Seconds())
+	fmt.Fprintf(w, "jobs: %s; %d starts, %.1f a second; %d orders on machines\n", counts(r.Jobs), r.Starts, float64(r.Starts)/r.Took.Seconds(), r.Orders)
 	fmt.Fprintf(w, "faults: %s; %d skipped\n", counts(r.Faults), r.Skipped)
 	fmt.Fprintf(w, "slowest recovery: %s; excused: %d\n\n", r.SlowestRecovery.Round(time.Millisecond), r.Excused)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -86,6 +88,9 @@
 	starts     map[runs.Task]int
 	closers    []func()
 	logs       *os.File
+	configs    int           // number of configurations that added a queue
+	configAt   time.Time     // time of the last one
+	waves      int           // number of waves
 	settling   chan struct{} // closed when jobs that last are to be cancelled
 }
 
@@ -126,7 +131,8 @@
 	}
 	s.workers.DecideRun = s.decideRun
 	s.caller.Twist = opt.plant.answer
-	s.site = site.New(s.kv, s.workers, opt.plant.Twists)
+	s.workers.PoolOf = site.Pools
+	s.site = site.New(s.kv, s.workers, site.Machines{Left: s.dropWorker, Back: s.returnMachine}, opt.plant.Twists)
 	if err := s.start(); err != nil {
 		s.Close()
 		return nil, err
@@ -146,9 +152,10 @@
 	if s.fleet, err = s.serve(s.site.FleetHandler()); err != nil {
 		return err
 	}
-	s.site.PutConfig(1, maxAttempts)
-	for range s.opt.Workers {
-		if err := s.addWorker(); err != nil {
+	s.site.PutConfig(1, maxAttempts, 0)
+	pools := slices.Sorted(maps.Values(site.Pools))
+	for i := range s.opt.Workers {
+		if err := s.addWorker(fmt.Sprintf("m%02d", i), pools[i%len(pools)]); err != nil {
 			return err
 		}
 	}
@@ -225,8 +232,8 @@
 	}()
 }
 
-// addWorker adds a worker with a new ID.
-func (s *Soak) addWorker() error {
+// addWorker adds a worker with a new ID on a machine.
+func (s *Soak) addWorker(machine, pool string) error {
 	s.mu.Lock()
 	n := s.nextWorker
 	s.nextWorker++
@@ -242,15 +249,23 @@
 	}
 	rack := fmt.Sprintf("r%d", n%2)
 	w := &worker{link: l, Worker: hosts.Worker{
-		ID: id, Pool: site.Pool, Address: l.proxy.Listen, Centre: "z1", Capacity: capacity, Labels: []string{"plain", rack}, Rack: rack, Host: "m" + id,
+		ID: id, Pool: pool, Address: l.proxy.Listen, Centre: "z1", Capacity: capacity, Labels: []string{"plain", rack}, Rack: rack, Host: machine,
 	}}
 	s.workers.Join(w.Worker)
+	s.site.Enter(w.Worker)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.pool = append(s.pool, w)
 	return nil
 }
 
+// returnMachine adds a worker on a machine that was moved or maintained.
+func (s *Soak) returnMachine(machine, pool string) {
+	if err := s.addWorker(machine, pool); err != nil {
+		s.check("SOAK", false, "%v", err)
+	}
+}
+
 // worker returns one of the workers.
 func (s *Soak) worker(pick int) *worker {
 	s.mu.Lock()
@@ -258,15 +273,23 @@
 	return s.pool[pick%len(s.pool)]
 }
 
-func (s *Soak) removeWorker(w *worker) {
+// dropWorker drops a worker that an order on its machine has ended.
+func (s *Soak) dropWorker(w hosts.Worker) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for i := range s.pool {
-		if s.pool[i] == w {
-			s.pool = append(s.pool[:i:i], s.pool[i+1:]...)
-			return
+	for _, v := range s.pool {
+		if v.ID == w.ID {
+			go v.link.cut() // for good
 		}
 	}
+	s.pool = slices.DeleteFunc(s.pool, func(v *worker) bool { return v.ID == w.ID })
+}
+
+// has tells whether a worker has not been dropped.
+func (s *Soak) has(w *worker) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Contains(s.pool, w)
 }
 
 // Close ends the entries and the stand-ins.
@@ -303,6 +326,10 @@
 	}
 	go every(background, site.Heartbeat, func() { s.site.Beat(func(string) bool { return true }) })
 	go every(background, violationsPeriod, s.readViolations)
+	go every(background, violationsPeriod, s.checkWaves)
+	for _, en := range s.entries {
+		go s.checkConfig(background, en)
+	}
 	go every(background, time.Second, func() { progress(s.report()) })
 	s.awaitReady(ctx)
 	s.begun = time.Now()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,8 +1,11 @@
 package main
 
 import (
+	"bytes"
 	"context"
+	"crypto/rand"
 	"io"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -15,6 +18,7 @@
 
 	"shallotpaddle/fakes/site"
 	"shallotpaddle/hosts"
+	"shallotpaddle/plat"
 	"shallotpaddle/runs"
 	"shallotpaddle/steps"
 )
@@ -99,7 +103,7 @@
 // chain makes a job a chain of n steps.
 func chain(n, failFirst int) func(l *load) {
 	return func(l *load) {
-		*l = load{Job: steps.Job{ID: l.ID, Payload: l.Payload, MaxAttempts: maxAttempts}, length: 800 * time.Millisecond, failFirst: failFirst}
+		*l = load{Job: steps.Job{ID: l.ID, Queue: l.Queue, Payload: l.Payload, MaxAttempts: maxAttempts}, length: 800 * time.Millisecond, failFirst: failFirst}
 		for i := range n {
 			s := steps.Step{Count: 2, CPU: 400, Mem: 200}
 			if i > 0 {
@@ -110,12 +114,15 @@
 	}
 }
 
+// twoWaves are two waves of the same machines.
+var twoWaves = []event{{Kind: "wave", At: 500 * time.Millisecond}, {Kind: "wave", At: 4 * time.Second}}
+
 // TestPlants plants a fault for each promise, which the soak must notice.
 func TestPlants(t *testing.T) {
 	t.Parallel()
 	for name, p := range map[string]plant{
 		"accepted jobs are not stored":   {promise: "KNOWN", Twists: site.Twists{LosePut: everyFourth("job/")}},
-		"accepted jobs are not heard of": {promise: "ENDS", Twists: site.Twists{HideKey: everyFourth("job/")}},
+		"accepted jobs are not heard of": {promise: "ENDS", Twists: site.Twists{HideItem: func(it plat.Item) bool { return everyFourth("job/")(it.Key) }}},
 		"running jobs are shown as completed": {promise: "STATE", answer: func(_ string, status int, state string) (int, string) {
 			return status, strings.Replace(state, "running", "completed", 1)
 		}},
@@ -133,11 +140,24 @@
 			j.Steps[0].MaxPerWorker = 0
 			return &j
 		}},
-		"another payload is handed in":        {promise: "UNASKED", apart: func(j steps.Job) *steps.Job { j.Payload += "?"; return &j }},
-		"cancels are lost":                    {promise: "UNASKED", noCancel: true, load: func(l *load) { chain(8, 0)(l); l.cancelAt = time.Millisecond }},
-		"draining workers are shown as ready": {promise: "DRAIN", events: []event{{Kind: "worker drained", At: time.Second, For: 6 * time.Second}}, Twists: site.Twists{Worker: func(w hosts.Worker) hosts.Worker { w.Draining = false; return w }}},
-		"entries that were killed stay dead":  {promise: "RECOVER", noRestart: true, events: []event{{Kind: "all entries killed", At: time.Second}}},
-		"entries end for faults of settings":  {promise: "EXIT", Twists: site.Twists{Settings: func(lines []string) []string { return append(lines, "Bounds.GraceS=x") }}},
+		"workers are shown in another pool": {promise: "ROUTE", Twists: site.Twists{Worker: func(w hosts.Worker) hosts.Worker {
+			w.Pool = map[string]string{"soakers": "bakers", "bakers": "soakers"}[w.Pool]
+			return w
+		}}},
+		"a configuration is not heard of": {promise: "CONFIG", events: []event{{Kind: "configuration", At: time.Second}}, Twists: site.Twists{HideItem: func(it plat.Item) bool { return bytes.Contains(it.Value, []byte(site.ExtraQueue(0))) }}},
+		"a configuration is forgotten": {promise: "CONFIG", events: []event{{Kind: "configuration", At: time.Second}}, answer: func(method string, status int, state string) (int, string) {
+			if method == http.MethodGet && state == "" && time.Now().UnixMilli()%1000 < 500 {
+				status = http.StatusNotFound
+			}
+			return status, state
+		}},
+		"orders for machines seem to come from two senders": {promise: "ONE", events: twoWaves, Twists: site.Twists{Sender: func(string, int64) (string, int64) { return rand.Text(), 1 }}},
+		"machines are said to be maintained and aren't":     {promise: "MIXED", events: twoWaves, Twists: site.Twists{SkipOrder: func(string) bool { return true }}},
+		"another payload is handed in":                      {promise: "UNASKED", apart: func(j steps.Job) *steps.Job { j.Payload += "?"; return &j }},
+		"cancels are lost":                                  {promise: "UNASKED", noCancel: true, load: func(l *load) { chain(8, 0)(l); l.cancelAt = time.Millisecond }},
+		"draining workers are shown as ready":               {promise: "DRAIN", events: []event{{Kind: "worker drained", At: time.Second, For: 6 * time.Second}}, Twists: site.Twists{Worker: func(w hosts.Worker) hosts.Worker { w.Draining = false; return w }}},
+		"entries that were killed stay dead":                {promise: "RECOVER", noRestart: true, events: []event{{Kind: "all entries killed", At: time.Second}}},
+		"entries end for faults of settings":                {promise: "EXIT", Twists: site.Twists{Settings: func(lines []string) []string { return append(lines, "Bounds.GraceS=x") }}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
