fleet: keep the worker of an order that had been done before

Cause: the platform answers 200 to an order that is already done, and the host's worker goes on. The controller listed that worker as ended, so that the pool's owner dropped it, and the list was shortened only by the next order. Until then a live worker had no work, and a task planned for its host was never ready: the wave stayed open.

Now a task that is carried out on a host that still has its worker removes that worker from the list. TestOrderThatWasDoneKeepsWorker failed before, passes now; for it the stand-in of the owner drops listed workers, as the owner does.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -253,6 +253,9 @@
 			if t.Ordered {
 				c.recordOrdered(t.Host, now)
 			}
+			if h := c.findHost(t.Host); h != nil && h.Worker == t.Worker {
+				c.removeEndedWorker(t.Worker)
+			}
 			c.Log.Info().Str("host", t.Host).Str("kind", string(t.Kind)).Int64("task", t.ID).Str("cause", why).Msg("host task ended")
 		}
 		return ended
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -193,6 +193,9 @@
 		p := f.readPlan()
 		time.Sleep(300 * time.Millisecond)
 		d := owner.Digest{DemandCPU: want, MinWorkers: 1, HadJobs: !f.noJobs, Hosts: map[string]owner.HostLoad{}, Released: p.ForPool("a", 1).Release}
+		for _, id := range p.EndedWorkers {
+			delete(d.Released, id) // an owner drops a worker that the plan lists as ended
+		}
 		f.mu.Lock()
 		if f.busy {
 			d.Released = nil
@@ -394,6 +397,25 @@
 	})
 }
 
+// TestOrderThatWasDoneKeepsWorker has the maintenance of a host ordered again that an
+// earlier controller had ordered, and not recorded: the answer is the same, and the
+// worker goes on. Its owner must not take it for ended, nor may the next wave wait for it.
+func TestOrderThatWasDoneKeepsWorker(t *testing.T) {
+	withFleet(t, func(ctx context.Context, f *fakeFleet) {
+		f.maxDown = 1
+		f.maintained["m-0"+"1"] = true
+		go f.runOwner(ctx, 0)
+		waves := oneWave(1, "m-0")
+		second := waves[0]
+		second.Number = "2"
+		f.startController(ctx, "e-1", 0, append(waves, second))
+		time.Sleep(20 * time.Second)
+		require.Equal(t, "true", f.waveStatus("1"))
+		require.Equal(t, "true", f.waveStatus("2"))
+		require.Empty(t, f.faults)
+	})
+}
+
 // TestDeposedControllerSendsNoOrders elects another fleet controller while one
 // runs.
 func TestDeposedControllerSendsNoOrders(t *testing.T) {
--- a/fleet/order.go
+++ b/fleet/order.go
@@ -131,6 +131,13 @@
 	c.planChanged = true
 }
 
+// removeEndedWorker removes a worker from those that the plan lists as ended: it goes on,
+// as its host had been moved or maintained before the order.
+func (c *Controller) removeEndedWorker(worker string) {
+	delete(c.endedAt, worker)
+	c.plan.EndedWorkers = slices.DeleteFunc(c.plan.EndedWorkers, func(id string) bool { return id == worker })
+}
+
 // applyAnswer updates the plan with the result of an order; an ID of 0 marks a
 // task to be removed.
 func (c *Controller) applyAnswer(t *Task, err error) error {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -75,6 +75,7 @@
 // regressions are runs that have failed once, with the cause of each.
 var regressions = []Options{
 	short(19, 15*time.Second), // the soak: the machine stalled for 2.8 s while an entry stopped
+	short(36, 15*time.Second), // fleet: the worker of an order that had been done before stayed listed as ended, and a wave waited for it for ever
 	stress(201),               // the soak: a job that lasts, accepted without an answer to its caller, was taken to linger
 	stress(205),               // the soak: SIGTERM reached a process that did not handle it yet
 }
