--- a/soak/soak.go
+++ b/soak/soak.go
@@ -202,7 +202,7 @@
 		return err
 	}
 	en := &entry{
-		Entry: site.Entry{Name: name, Callers: s.net.address(), Readiness: s.net.address(), Store: l.proxy.Listen, Fleet: s.fleet},
+		Entry: site.Entry{Name: name, Callers: s.net.address(), Readiness: s.net.address(), Store: l.listen, Fleet: s.fleet},
 		file:  filepath.Join(s.opt.Dir, name+".conf"), log: filepath.Join(s.opt.Dir, name+".log"), store: l,
 	}
 	s.writeSettings(en)
@@ -251,7 +251,7 @@
 	}
 	rack := fmt.Sprintf("r%d", n%2)
 	w := &worker{link: l, Worker: hosts.Worker{
-		ID: id, Pool: pool, Address: l.proxy.Listen, Centre: "z1", Capacity: capacity, Labels: []string{"plain", rack}, Rack: rack, Host: machine,
+		ID: id, Pool: pool, Address: l.listen, Centre: "z1", Capacity: capacity, Labels: []string{"plain", rack}, Rack: rack, Host: machine,
 	}}
 	s.workers.Join(w.Worker)
 	s.site.Enter(w.Worker)
@@ -336,7 +336,9 @@
 		}
 	}
 	go every(background, site.Heartbeat, func() { s.site.Beat(func(string) bool { return true }) })
-	go s.checks.watchStalls(background)
+	if s.opt.plant.promise == "" { // a stall must not excuse what was planted
+		go s.checks.watchStalls(background)
+	}
 	go every(background, violationsPeriod, s.readViolations)
 	go every(background, violationsPeriod, s.checkWaves)
 	for _, en := range s.entries {
