soak: ask for all jobs once more when they have ended

Why: a job was not asked for after its caller had seen its end, so that a record lost by a later fault went unseen.

--- a/soak/load.go
+++ b/soak/load.go
@@ -224,7 +224,7 @@
 		} else if l.cancelAt > 0 && !l.cancelSent && time.Now().After(cancelAt) {
 			c.cancel(life)
 		}
-		if c.ask(life) {
+		if c.ask(life); l.hasEnded() {
 			c.setStatus(ended)
 			c.soak.check("ENDS", true, "")
 			return
@@ -236,7 +236,38 @@
 	}
 }
 
-// ask asks for the state of the job, and returns whether it has ended.
+// askers is the number of callers that ask again for jobs that have ended.
+const askers = 8
+
+// askAgain asks for all jobs that have ended once more: they are known, and as they were.
+func (s *Soak) askAgain(ctx context.Context, r *rand.Rand) {
+	var list []*load
+	s.mu.Lock()
+	for _, l := range s.loads {
+		if l.status == ended {
+			list = append(list, l)
+		}
+	}
+	s.mu.Unlock()
+	var g errgroup.Group
+	g.SetLimit(askers)
+	for _, l := range list {
+		c := &client{soak: s, load: l, rand: rand.New(rand.NewPCG(r.Uint64(), streamLoad))}
+		g.Go(func() error {
+			before, answered := l.state, false
+			for try := 0; try < maxTries && !answered && ctx.Err() == nil; try++ {
+				answered = c.ask(ctx)
+			}
+			if ctx.Err() == nil {
+				s.check("STATE", answered && l.state == before, "%s was %q, and is %q when asked again, answered: %v", l.ID, before, l.state, answered)
+			}
+			return nil
+		})
+	}
+	_ = g.Wait() // no caller returns an error
+}
+
+// ask asks for the state of the job, and returns whether there was an answer.
 func (c *client) ask(ctx context.Context) bool {
 	l, s, address := c.load, c.soak, c.address()
 	word, state := s.caller.State(ctx, address, &l.Job)
@@ -249,7 +280,12 @@
 	s.check("KNOWN", true, "")
 	l.state = state
 	s.check("STATE", c.isTrue(state), "%s is shown as %q", l.ID, state)
-	return slices.Contains([]string{"completed", "failed", "cancelled"}, state)
+	return true
+}
+
+// hasEnded tells whether the state that was shown last is a final one.
+func (l *load) hasEnded() bool {
+	return slices.Contains([]string{"completed", "failed", "cancelled"}, l.state)
 }
 
 // isTrue tells whether a state can be that of the job.
@@ -319,6 +355,7 @@
 	}
 	endLife()
 	once.Wait()
+	s.askAgain(ctx, r)
 	s.awaitWaves(ctx)
 	end := time.Now().Add(lingerLimit)
 	for len(s.lingering()) > 0 && time.Now().Before(end) && ctx.Err() == nil {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -143,6 +144,17 @@
 	}}
 }
 
+// everyThird returns a twist of every third answer with a state.
+func everyThird(from, to string) func(string, int, string) (int, string) {
+	var n atomic.Int32
+	return func(_ string, status int, state string) (int, string) {
+		if state == from && n.Add(1)%3 == 0 {
+			state = to
+		}
+		return status, state
+	}
+}
+
 // chain makes a job a chain of n steps.
 func chain(n, failFirst int) func(l *load) {
 	return func(l *load) {
@@ -172,6 +184,7 @@
 		"running jobs are shown as failed": {promise: "STATE", answer: func(_ string, status int, state string) (int, string) {
 			return status, strings.Replace(state, "running", "failed", 1)
 		}},
+		"some ends are forgotten":        {promise: "STATE", answer: everyThird("completed", "running")},
 		"accepted jobs are answered 503": {promise: "REFUSED", answer: func(string, int, string) (int, string) { return 503, "" }},
 		"starts are carried out twice": {promise: "TWICE", Twists: site.Twists{CopyStart: func(w string, _ runs.Start) string {
 			return map[string]string{"w00": "w02", "w02": "w00", "w01": "w03", "w03": "w01"}[w]
