--- a/fakes/check.go
+++ b/fakes/check.go
@@ -45,6 +45,36 @@
 	return most
 }
 
+// Violate records the text of a broken rule that another stand-in has found.
+func (ws *WorkerSet) Violate(text string) {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	ws.violations = append(ws.violations, text)
+}
+
+// Up tells whether a worker is up.
+func (ws *WorkerSet) Up(id string) bool {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	w := ws.workers[id]
+	return w != nil && w.up
+}
+
+// JobDone tells whether reports have listed an end as Done for every subtask of a job.
+func (ws *WorkerSet) JobDone(id string) bool {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	j := ws.jobs[id]
+	for occur := range j.Occurrences() {
+		for step := range j.Steps {
+			if !ws.stepDone(j, occur, step) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // recordViolation adds the text of a broken rule; ws.mu is held.
 func (ws *WorkerSet) recordViolation(format string, args ...any) {
 	ws.violations = append(ws.violations, fmt.Sprintf(format, args...))
@@ -84,6 +114,9 @@
 			same++
 		}
 	}
+	if pool := ws.PoolOf[j.Queue]; pool != "" && pool != w.Pool {
+		ws.recordViolation("ROUTE %s on %s, a worker of %s", s.Task, w.ID, w.Pool)
+	}
 	if step.MaxPerWorker > 0 && same >= step.MaxPerWorker {
 		ws.recordViolation("ROUTE %s exceeds the number of subtasks per worker", s.Task)
 	}
