--- a/owner/unanswered_test.go
+++ b/owner/unanswered_test.go
@@ -205,7 +205,7 @@
 // The time in which it may be carried out is counted from the end of the try.
 func TestStartCountsFromEndOfTry(t *testing.T) {
 	r := newRig(t)
-	r.Workers.Start = func(ctx context.Context, _ runs.Target, _ runs.Start) (runs.Reply, error) {
+	r.Workers.Start = func(context.Context, runs.Target, runs.Start) (runs.Reply, error) {
 		return runs.Reply{}, plat.ErrUnknown
 	}
 	h := r.rows[0]
