--- a/fakes/workerset.go
+++ b/fakes/workerset.go
@@ -33,8 +33,14 @@
 	// CrashesWorker tells whether a subtask crashes each worker that starts it; nil stands
 	// for never.
 	CrashesWorker func(t runs.Task) bool
+	// PoolOf has the pools by queue, of the queues whose jobs may run on workers of no other
+	// pool. It is set before the first call.
+	PoolOf map[string]string
 	// MaxLease is the longest lease that a worker accepts.
 	MaxLease time.Duration
+	// ChecksRoom makes workers refuse starts that don't fit. They take the lease from these
+	// as well.
+	ChecksRoom bool
 
 	mu            sync.Mutex
 	workers       map[string]*workerState
@@ -357,6 +363,9 @@
 		return err
 	}
 	step := &j.Steps[s.Task.Step]
+	if ws.ChecksRoom && !w.fits(step) {
+		return runs.ErrNoCapacity
+	}
 	ws.checkStart(w, s, j, step)
 	ws.starts++
 	ws.lastStarts[s.Task] = time.Now()
@@ -388,6 +397,11 @@
 	return nil
 }
 
+// fits reports whether the worker has room for a subtask of the step.
+func (w *workerState) fits(step *steps.Step) bool {
+	return (step.Fills || w.used.CPU+step.CPU <= w.Capacity.CPU) && w.used.Mem+step.Mem <= w.Capacity.Mem && w.used.GPU+step.GPU <= w.Capacity.GPU
+}
+
 // endIfGangIncomplete ends the run of a gang's member if other members have not
 // started.
 func (ws *WorkerSet) endIfGangIncomplete(w *workerState, t runs.Task, r *activeRun) {
@@ -486,7 +500,7 @@
 		select {
 		case <-changed:
 		case <-wait:
-			return out, nil
+			n.WaitMs = 0 // the clock and the runs are those at the end of the wait
 		case <-ctx.Done():
 			return out, fmt.Errorf("%w: %w", plat.ErrUnknown, ctx.Err())
 		}
--- a/owner/host.go
+++ b/owner/host.go
@@ -48,25 +48,32 @@
 	// awaitsStarts is true while starts without an answer may still be carried out: the
 	// worker is polled, so that a restart is noticed before they are.
 	awaitsStarts bool
-	// proofDue is true if the worker is to be asked whether it has seen a later owner.
+	// proofDue is true if the worker is to be asked whether it has seen a later owner, or
+	// has started again while orders of an earlier one may be carried out.
 	proofDue bool
 	// polling tells that a poll is under way, polledAt when the last one was sent, and
 	// pollAcks whether it acknowledges ends.
 	polling, pollAcks bool
 	polledAt          time.Time
 	nextPoll          time.Time
-	failingSince      time.Time // since when polls have failed; zero if they succeed
-	failedPolls       int       // since the last answer that was quick
+	failingSince      time.Time     // since when polls have failed; zero if they succeed
+	failedPolls       int           // since the last answer that was quick
+	answerTime        time.Duration // of its calls, usually
 	// unansweredAt is when a call was last found to have got no answer.
 	unansweredAt time.Time
+	othersLose   bool      // many other workers have lost calls lately
 	leavingSince time.Time // when the worker was first listed as draining
 	// noRoomUntil is the time before which the worker gets no starts: it has refused one, or
 	// orders to an earlier incarnation may be carried out there.
 	noRoomUntil time.Time
 	// lateLeases is until when an order to an earlier incarnation may extend the lease.
 	lateLeases time.Time
-	health     pack.Health
-	unhealthy  bool // as of the last scheduling pass
+	// formerLease tells that the incarnation was found while an order of an earlier owner to
+	// the one before could be carried out, and may have extended the lease until this
+	// owner's first call.
+	formerLease bool
+	health      pack.Health
+	unhealthy   bool // as of the last scheduling pass
 	// fillShare is the share, in percent, at which filling (best-effort) subtasks may
 	// run.
 	fillShare int
@@ -94,16 +101,29 @@
 	tries       int // to start the run
 	stopTries   int
 	startSentAt time.Time // when the last try was sent
-	inFlight    bool      // a start or stop is under way
-	announced   bool      // see steps.Task.Announce
+	// sentBy is until when the last try or a copy of it may be sent: a call may wait for CPU or a
+	// connection.
+	sentBy    time.Time
+	copied    bool // a start was sent in several copies
+	inFlight  bool // a start or stop is under way
+	announced bool // see steps.Task.Announce
 	// share is the share, in percent, at which a filling run works, or shareUnknown.
 	share        int
 	paceInFlight bool      // a call to change share is under way
 	retryAt      time.Time // of a start or stop without an answer; zero for none
 	stopping     bool
 	stoppedAt    time.Time // when the stop was confirmed
+	// stray tells that the run was not the current one of its subtask when a worker listed it.
+	stray bool
 }
 
+// lastSentAt returns when the last start was sent, at the latest.
+func (p *placement) lastSentAt() time.Time { return later(p.startSentAt, p.sentBy) }
+
+// mayHaveStarted reports whether another start than the one that was answered last may have
+// been carried out.
+func (p *placement) mayHaveStarted() bool { return p.tries > 1 || p.copied }
+
 const (
 	// maxClockSlowness is the fraction by which a worker's clock may run slow.
 	maxClockSlowness = 0.02
@@ -309,7 +329,7 @@
 // were answered since its last report may have been answered by the next incarnation.
 func (o *Owner) replaceIncarnation(h *host, why string) {
 	for _, p := range h.runs {
-		if p.startSentAt.After(h.lastReport) {
+		if p.lastSentAt().After(h.lastReport) {
 			o.recordUnanswered(h, p)
 		}
 	}
@@ -343,8 +363,8 @@
 			o.voidRun(p)
 		}
 	}
-	o.blockUnansweredStarts(h)
 	delete(o.hosts, h.id)
+	o.blockUnansweredStarts(h)
 	o.markChanged(o.roster)
 	o.passNeeded = true
 }
@@ -367,6 +387,7 @@
 		return
 	}
 	delete(h.runs, p.task.ID)
+	o.forgetStray(p)
 	s := p.task.Step
 	if !s.Fills {
 		h.used.CPU -= s.CPU
@@ -376,6 +397,18 @@
 	p.job.activeTasks--
 }
 
+// forgetStray lets the subtask of a run that was not current start again, once the run has
+// ended.
+func (o *Owner) forgetStray(p *placement) {
+	if !p.stray {
+		return
+	}
+	if o.strays[p.task]--; o.strays[p.task] == 0 {
+		delete(o.strays, p.task)
+	}
+	o.passNeeded = true
+}
+
 // reserveRoom adds a run to a worker and reserves its resources.
 func (o *Owner) reserveRoom(h *host, p *placement) {
 	h.runs[p.task.ID] = p
@@ -395,6 +428,7 @@
 		switch {
 		case h.answered && !h.listed && len(h.runs) == 0:
 			o.endIncarnation(h, "not registered and idle")
+			o.announceTokenAt(h)
 		case h.answered && h.failingSince.IsZero():
 		case h.leaseExpired(now, o.pollsSince):
 			if h.listed && h.answered && !h.leaseExpired(now.Add(-unreachableGrace), o.pollsSince) {
@@ -409,6 +443,7 @@
 			}
 			o.endsUnread = o.endsUnread || !h.answered
 			o.loseIncarnation(h, "lease is over")
+			o.announceTokenAt(h)
 		}
 	}
 	if !o.takeoverDone && o.workersKnown {
--- a/owner/model_test.go
+++ b/owner/model_test.go
@@ -267,6 +267,21 @@
 	}
 }
 
+// TestModelRoom does the same in workers that refuse starts for which they have no room, and
+// take the lease from them.
+func TestModelRoom(t *testing.T) {
+	for seed := range seeds() / 2 {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			pool := run(t, seed, func(pool *testPool) {
+				pool.workers.ChecksRoom = true
+				go pool.resizeWorkers(rand.New(rand.NewPCG(seed, 9)))
+			})
+			require.Empty(t, pool.workers.Violations())
+			pool.requireJobsEnded(t)
+		})
+	}
+}
+
 // crashRegressions are seeds of the runs with crashes that have failed once by chance, with
 // the cause.
 var crashRegressions = []uint64{
@@ -315,6 +330,11 @@
 	}
 }
 
+// beforeCopies is a time after which an owner makes no further copy of a call yet. A call
+// without an answer that is to count as refused must do so by then: another copy that is
+// answered would show that it may be carried out.
+const beforeCopies = 15 * time.Millisecond
+
 // TestModelCatches checks that the model detects a missing safeguard.
 func TestModelCatches(t *testing.T) {
 	for name, prepare := range map[string]func(pool *testPool){
@@ -338,6 +358,8 @@
 		},
 		"starts without an answer that count as refused": func(pool *testPool) {
 			pool.start = func(ctx context.Context, to runs.Target, s runs.Start) (runs.Reply, error) {
+				ctx, cancel := context.WithTimeout(ctx, beforeCopies)
+				defer cancel()
 				r, err := pool.workers.Start(ctx, to, s)
 				if errors.Is(err, plat.ErrUnknown) {
 					err = plat.ErrUnavailable
@@ -353,6 +375,12 @@
 				return pool.workers.Renew(ctx, to, n)
 			}
 		},
+		"starts that give longer leases than the owner counts": func(pool *testPool) {
+			pool.start = func(ctx context.Context, to runs.Target, s runs.Start) (runs.Reply, error) {
+				s.UntilMs += holdMax.Milliseconds()
+				return pool.workers.Start(ctx, to, s)
+			}
+		},
 		"polls without an answer that count as refused": func(pool *testPool) {
 			pool.failures = map[string]func(context.Context, *testPool){"crash a worker": failures["crash a worker"]}
 			late := newLockedRand(0, 4)
@@ -363,6 +391,8 @@
 				return fakes.NoFault
 			}
 			pool.renew = func(ctx context.Context, to runs.Target, n runs.Renew) (runs.Report, error) {
+				ctx, cancel := context.WithTimeout(ctx, time.Duration(n.WaitMs)*time.Millisecond+beforeCopies)
+				defer cancel()
 				r, err := pool.workers.Renew(ctx, to, n)
 				if errors.Is(err, plat.ErrUnknown) {
 					err = plat.ErrUnavailable
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -74,6 +74,9 @@
 	// Proven reports whether the election is certainly in force, so that no later owner can
 	// have been elected. It does not report so while the store can't be reached.
 	Proven func() bool
+	// SinceBoot returns the time since some moment, including the time for which the host
+	// was suspended.
+	SinceBoot func() time.Duration
 	// AskAdvisor returns a ticket for each worker that the advisor lets run a step,
 	// by worker. It gives up after the time in within.
 	AskAdvisor func(ctx context.Context, q runs.AdvisorQuery, within time.Duration) (map[string]string, error)
@@ -105,10 +108,11 @@
 	// watchJobs.
 	jobsPerSecond atomic.Uint64
 
-	lastPass        time.Time // time of the last scheduling pass
-	passNeeded      bool      // something changed that may let a subtask start
-	err             error     // ErrDeposed when another owner was elected; ends Run
-	digestCheckedAt time.Time // when the digest was last compared with the published one
+	lastPass        time.Time     // time of the last scheduling pass
+	passTime        time.Duration // that it took
+	passNeeded      bool          // something changed that may let a subtask start
+	err             error         // ErrDeposed when another owner was elected; ends Run
+	digestCheckedAt time.Time     // when the digest was last compared with the published one
 	// publishedDigest is the digest that was last queued for writing.
 	publishedDigest string
 	// workersKnown tells that the registered workers have been listed, and
@@ -135,18 +139,24 @@
 	// lateOrders has the orders without an answer that a later incarnation of a worker might
 	// carry out, by worker ID.
 	lateOrders        map[string][]*lateOrders
-	questionsInFlight int // to the advisor
-	callsInFlight     int // starts and stops
+	forgottenAt       time.Time // when orders were last dropped from the two
+	questionsInFlight int       // to the advisor
+	callsInFlight     int       // starts and stops
 	// trialsWait tells that in the last scheduling pass a subtask that may have crashed a
 	// worker found none to start on.
 	trialsWait bool
 	// inDoubt tells that a later owner may have been elected.
 	inDoubt bool
+	// advancedAt is when the loop last did what is due, by SinceBoot; 0 before the first time.
+	advancedAt time.Duration
+	ordersFrom time.Time // until then, the owner gives neither starts nor leases
 	// restartsWait tells that in the last scheduling pass a subtask waited until its record
 	// is stored.
 	restartsWait bool
 	// trialHosts has the worker on which each subtask starts whose trial is announced.
 	trialHosts map[*steps.Task]*host
+	// strays counts the runs of each subtask that are being stopped as they are not current.
+	strays map[*steps.Task]int
 	// forecasts predict run times from past ones, by queue.
 	forecasts map[string]*pack.Forecast
 }
@@ -159,7 +169,7 @@
 func New(p Params) *Owner {
 	o := &Owner{
 		Params: p, inbox: make(chan any, inboxSize), done: make(chan struct{}), hosts: map[string]*host{}, jobs: map[string]*job{},
-		cancelRequests: map[string]struct{}{}, forecasts: map[string]*pack.Forecast{}, inflows: map[string]*shift.Inflow{}, unanswered: map[string][]*unansweredStart{}, lateOrders: map[string][]*lateOrders{}, trialHosts: map[*steps.Task]*host{},
+		cancelRequests: map[string]struct{}{}, forecasts: map[string]*pack.Forecast{}, inflows: map[string]*shift.Inflow{}, unanswered: map[string][]*unansweredStart{}, lateOrders: map[string][]*lateOrders{}, trialHosts: map[*steps.Task]*host{}, strays: map[*steps.Task]int{},
 	}
 	o.roster = &doc{key: rosterKey(p.Pool), encode: o.encodeRoster}
 	o.digest = &doc{key: DigestKey(p.Pool), encode: o.encodeDigest}
@@ -215,6 +225,10 @@
 	// minPassGap is the shortest time between two scheduling passes: one pass
 	// serves all ends that arrive close together.
 	minPassGap = 5 * time.Millisecond
+	// passGapFactor is that time in durations of a pass, up to maxBusyPassGap: passes over
+	// hundreds of waiting jobs would take the CPU that calls need.
+	passGapFactor  = 20
+	maxBusyPassGap = 50 * time.Millisecond
 	// maxPassGap is the longest time between two scheduling passes while jobs are
 	// open: some obstacles to a start, such as HeldUntil, end without a message.
 	maxPassGap = 200 * time.Millisecond
@@ -297,6 +311,7 @@
 // advance does all work that is due at now, and returns the time until it must be
 // called again.
 func (o *Owner) advance(now time.Time) time.Duration {
+	o.checkSuspension(now)
 	o.expireLeases(now)
 	o.stopLeaving(now)
 	o.stopOnReleased(now)
@@ -305,17 +320,18 @@
 		o.passNeeded = true
 	}
 	if o.passNeeded {
-		if wait := minPassGap - now.Sub(o.lastPass); wait > 0 {
+		if wait := max(passGap(o.passTime)-now.Sub(o.lastPass), o.ordersFrom.Sub(now)); wait > 0 {
 			next = wait
 		} else {
 			o.passNeeded = false
 			o.lastPass = now
+			begun := o.Clock.Now()
 			o.scheduleStarts(now)
+			o.passTime = o.Clock.Since(begun)
 		}
 	}
 	o.checkElection()
 	o.forgetUnanswered(now)
-	o.forgetLateOrders(now)
 	o.retryOrders(now)
 	o.pollHosts(now)
 	o.updateDigest(now)
@@ -324,6 +340,28 @@
 	return max(min(next, o.untilNextDue(now)), time.Millisecond)
 }
 
+// passGap returns the time from one scheduling pass to the next, from what the last took.
+func passGap(took time.Duration) time.Duration {
+	return max(minPassGap, min(passGapFactor*took, maxBusyPassGap))
+}
+
+// suspendedFor is the time between two rounds of the loop from which on the entry counts as
+// having been suspended.
+const suspendedFor = time.Second
+
+// checkSuspension makes an owner that was suspended, and may have been replaced meanwhile, ask
+// the workers for a successor before it gives starts or leases: the successor may have given up
+// a worker that it can't reach.
+func (o *Owner) checkSuspension(now time.Time) {
+	at := o.SinceBoot()
+	gap := at - o.advancedAt
+	if o.advancedAt != 0 && gap >= suspendedFor && !o.Proven() {
+		o.ordersFrom = now.Add(doubtPollInterval)
+		o.Log.Warn().Str("pool", o.Pool).Dur("gap", gap).Msg("owner was suspended; asking the workers for a successor")
+	}
+	o.advancedAt = at
+}
+
 // untilNextDue returns the time until the next occurrence of a scheduled job is
 // due, at most tickInterval, and asks for a scheduling pass if one is due by then.
 func (o *Owner) untilNextDue(now time.Time) time.Duration {
@@ -359,8 +397,9 @@
 	// without any is suspect: by chance, that happens once in 150 watches.
 	suspectJobs = 5
 	// watchGrace is how much longer than its wait a watch may take while jobs are
-	// expected.
-	watchGrace = 150 * time.Millisecond
+	// expected, and maxWatchGrace how much longer in an entry that is slow itself.
+	watchGrace    = 150 * time.Millisecond
+	maxWatchGrace = 1200 * time.Millisecond
 	// minWatchWait is the shortest wait of a watch.
 	minWatchWait = 100 * time.Millisecond
 )
@@ -370,10 +409,10 @@
 // Before the store discards its history, watches may hear nothing for a second. A
 // watch that hears nothing while jobs are expected is replaced by a list.
 func (o *Owner) watchJobs(ctx context.Context, rev int64) {
-	prefix := JobPrefix(o.Pool)
+	prefix, grace := JobPrefix(o.Pool), watchGrace
 	for ctx.Err() == nil {
 		wait := o.watchWait()
-		items, next, err := o.watchOnce(ctx, prefix, rev, wait)
+		items, next, err := o.watchOnce(ctx, prefix, rev, wait, grace)
 		switch {
 		case errors.Is(err, plat.ErrCompacted):
 			items, next, err = o.Store.List(ctx, prefix)
@@ -384,11 +423,13 @@
 			o.Log.Info().Str("pool", o.Pool).Int64("rev", rev).Dur("silent", wait).AnErr("cause", watchErr).Err(err).Msg("watch is silent; listing all jobs")
 		}
 		if err != nil {
+			// An entry that is too slow for a list may still be in time for a watch.
+			grace = maxWatchGrace
 			o.Stats.WatchesFailed.Inc(1)
 			o.sleep(ctx, storeRetryDelay)
 			continue
 		}
-		rev = next
+		rev, grace = next, watchGrace
 		if len(items) > 0 {
 			o.awaitProof(ctx)
 			o.post(itemsWritten{items})
@@ -415,10 +456,10 @@
 
 // watchOnce watches once. A store that is about to discard its history doesn't end
 // watches when their wait is over; while jobs are expected, the caller lists them then.
-func (o *Owner) watchOnce(ctx context.Context, prefix string, rev int64, wait time.Duration) ([]plat.Item, int64, error) {
+func (o *Owner) watchOnce(ctx context.Context, prefix string, rev int64, wait, grace time.Duration) ([]plat.Item, int64, error) {
 	if wait < maxWatchWait {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, wait+watchGrace)
+		ctx, cancel = context.WithTimeout(ctx, wait+grace)
 		defer cancel()
 	}
 	return o.Store.Watch(ctx, prefix, rev, wait)
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -13,13 +13,18 @@
 )
 
 // pendingAck is an end that may be acknowledged to its worker once the job's record
-// is stored at the version. job is nil if the end belongs to no known job.
+// is stored at the version, and from notBefore on. job is nil if the end belongs to no
+// known job.
 type pendingAck struct {
-	number  int64
-	job     *job
-	version int
+	number    int64
+	job       *job
+	version   int
+	notBefore time.Time
 }
 
+// stored reports whether nothing is lost if the worker forgets the end.
+func (a *pendingAck) stored() bool { return a.job == nil || a.job.stored >= a.version }
+
 // pollResult is the result of a poll: a worker's report or an error.
 type pollResult struct {
 	host   *host
@@ -27,6 +32,7 @@
 	sent   time.Time
 	wait   time.Duration // that the worker was allowed
 	acked  int64         // the highest end acknowledged by the poll
+	copies copies
 	err    error
 }
 
@@ -49,9 +55,10 @@
 
 // pollHosts polls the workers that are due.
 func (o *Owner) pollHosts(now time.Time) {
+	o.markLosses(now)
 	for _, h := range o.hosts {
 		h.awaitsStarts = len(o.unanswered[h.id]) > 0
-		h.proofDue = o.inDoubt && now.Sub(h.clockAt) >= doubtPollInterval
+		h.proofDue = o.inDoubt && now.Sub(h.clockAt) >= doubtPollInterval || o.formerOrdersMayCome(now) && now.Sub(h.clockAt) >= formerPollInterval
 		if h.pollDue(now) {
 			o.poll(h, now)
 		}
@@ -68,7 +75,7 @@
 		// owner has read.
 		n.AckedThrough = h.ackable
 	}
-	if h.answered && h.failingSince.IsZero() && len(h.runs) > 0 {
+	if h.answered && h.failingSince.IsZero() && len(h.runs) > 0 && !now.Before(o.ordersFrom) {
 		// The lease of a worker that does not answer is not extended: otherwise each
 		// poll would postpone the time at which it expires.
 		n.UntilMs = h.workerClock(now) + o.leaseLength().Milliseconds()
@@ -87,7 +94,7 @@
 		if o.inDoubt {
 			wait = min(wait, doubtPollWait)
 		}
-		if !h.unansweredAt.IsZero() && now.Sub(h.unansweredAt) < lossyPeriod {
+		if h.losesCalls(now) {
 			wait = min(wait, lossyPollWait)
 		}
 		n.WaitMs = int(wait.Milliseconds())
@@ -95,12 +102,19 @@
 	h.polledAt, h.pollAcks = now, n.AckedThrough > 0
 	o.Stats.Polls.Inc(1)
 	to, wait := h.target(), time.Duration(n.WaitMs)*time.Millisecond
-	within := wait + answerTimeout(h.failedPolls+1)
+	delay := h.copyDelay(now)
+	within := wait + tryTimeout(h.failedPolls+1, delay)
 	go func() {
 		ctx, cancel := context.WithTimeout(o.ctx, within)
 		defer cancel()
-		r, err := o.Workers.Renew(ctx, to, n)
-		o.post(pollResult{h, r, now, wait, n.AckedThrough, err})
+		r, c, err := callWorker(ctx, o.Clock, wait, delay, func(ctx context.Context, number int) (runs.Report, error) {
+			if number > 0 {
+				// As after a poll without an answer: no lease, no acknowledgement, no wait.
+				return o.Workers.Renew(ctx, to, runs.Renew{Fence: n.Fence})
+			}
+			return o.Workers.Renew(ctx, to, n)
+		})
+		o.post(pollResult{h, r, now, wait, n.AckedThrough, c, err})
 	}()
 }
 
@@ -122,6 +136,12 @@
 	if o.hosts[h.id] != h {
 		return // the incarnation ended meanwhile
 	}
+	h.noteAnswer(m.copies)
+	if m.copies.answered > 0 {
+		h.unansweredAt = now
+		o.recordLateOrder(h, m.sent, m.acked > 0)
+		m.acked, m.copies = 0, copies{}
+	}
 	if m.err != nil {
 		o.pollFailed(m, now)
 		return
@@ -144,6 +164,7 @@
 	if !h.failingSince.IsZero() {
 		o.Log.Info().Str("pool", o.Pool).Str("host", h.id).Dur("away", now.Sub(h.failingSince)).Msg("worker is answering again")
 		h.failingSince = time.Time{}
+		o.leaveUnblocked(h, now)
 		o.passNeeded = true
 	}
 	if !h.answered {
@@ -165,9 +186,9 @@
 	o.digestDue = o.digestDue || h.releaseTask != 0 && o.isEmpty(h)
 	h.nextPoll = now.Add(pollGap)
 	switch {
-	case len(h.unacked) > 0:
+	case h.endsUnstored():
 		h.nextPoll = now.Add(pollGapUnstored)
-	case h.firstWithheld != 0:
+	case h.firstWithheld != 0, len(h.unacked) > 0:
 		h.nextPoll = now.Add(pollGapWithheld)
 	}
 }
@@ -258,8 +279,14 @@
 	}
 }
 
+// endsUnstored reports whether the worker has an end that must not be lost.
+func (h *host) endsUnstored() bool {
+	return slices.ContainsFunc(h.unacked, func(a pendingAck) bool { return !a.stored() })
+}
+
 // ackStoredEnds marks the ends whose records are stored as acknowledgeable.
 func (o *Owner) ackStoredEnds() {
+	now := o.Clock.Now()
 	for _, h := range o.hosts {
 		for len(h.unacked) > 0 {
 			e := h.unacked[0]
@@ -267,7 +294,7 @@
 				h.unacked = nil
 				break
 			}
-			if e.job != nil && e.job.stored < e.version {
+			if !e.stored() || now.Before(e.notBefore) {
 				break
 			}
 			h.ackable = e.number
@@ -365,6 +392,8 @@
 	}
 	o.Log.Warn().Str("task", v.Task.String()).Int("run", v.Run).Str("host", h.id).Int64("born", h.startedMs).Int("current", t.Run).
 		Str("currentHost", t.WorkerID).Msg("worker reports a run that is not current; stopping it")
+	p.stray = true
+	o.strays[t]++
 	o.stopRun(h, p, "stray run")
 }
 
--- a/owner/unanswered_test.go
+++ b/owner/unanswered_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -50,8 +52,8 @@
 		"the worker is back":      {nil, 220 * time.Millisecond},
 		"the run has ended there": {runs.ErrStaleRun, 0},
 		"another worker answers":  {runs.ErrIncarnation, 0},
-		"nothing answers":         {plat.ErrUnknown, 7600 * time.Millisecond},
-		"nothing listens":         {plat.ErrUnavailable, 7600 * time.Millisecond},
+		"nothing answers":         {plat.ErrUnknown, 7675 * time.Millisecond},
+		"nothing listens":         {plat.ErrUnavailable, 7675 * time.Millisecond},
 	} {
 		r := newRig(t)
 		r.Bounds.StopTime = 200 * time.Millisecond
@@ -63,7 +65,7 @@
 		r.endIncarnation(h, "lease is over")
 		if c.answer != nil {
 			trap.MustWait(t.Context()).MustRelease(t.Context())
-			r.clock.Advance(orderRetryDelay).MustWait(t.Context())
+			r.clock.Advance(quickRetryDelay).MustWait(t.Context())
 		}
 		trap.Close()
 		r.handle(<-r.inbox)
@@ -115,3 +117,103 @@
 	r.handlePoll(answer)
 	require.Equal(t, minAnswerTimeout, answerTimeout(h.failedPolls+1))
 }
+
+// Callers saw jobs late: each poll without an answer sent a stop for each of hundreds of
+// unanswered starts, which took the connections of the worker's other calls. Only a few are
+// under way while the worker may be up, none further once it has answered, and all once it is
+// lost.
+func TestBlocksLeaveConnections(t *testing.T) {
+	r := newRig(t)
+	h, now := r.rows[0], r.clock.Now()
+	h.answered, h.startedMs = true, 1000
+	var sent atomic.Int32
+	r.Workers.Stop = func(ctx context.Context, _ runs.Target, _ runs.Stop) (runs.Reply, error) {
+		sent.Add(1)
+		<-ctx.Done()
+		return runs.Reply{}, plat.ErrUnknown
+	}
+	const starts = 50
+	for i := range starts {
+		r.recordUnanswered(h, &placement{task: &steps.Task{ID: runs.Task{Job: "k", Index: i}}, run: 1, startSentAt: now})
+	}
+	underWay := func() (n int) {
+		for _, u := range r.unanswered[h.id] {
+			if u.blocking {
+				n++
+			}
+		}
+		return n
+	}
+	r.handlePoll(pollResult{host: h, sent: now, err: plat.ErrUnknown})
+	require.Equal(t, maxBlocksInDoubt, underWay())
+
+	r.handlePoll(pollResult{host: h, sent: now, report: runs.Report{Reply: runs.Reply{StartedMs: 1000}}})
+	for range maxBlocksInDoubt {
+		r.handleBlocked(blockResult{firstBlocking(r.unanswered[h.id]), plat.ErrUnknown})
+	}
+	require.Zero(t, underWay())
+
+	r.endIncarnation(h, "lease is over")
+	require.Equal(t, starts, underWay())
+	require.Eventually(t, func() bool { return sent.Load() == starts+maxBlocksInDoubt }, 10*time.Second, time.Millisecond)
+}
+
+func firstBlocking(list []*unansweredStart) *unansweredStart {
+	return list[slices.IndexFunc(list, func(u *unansweredStart) bool { return u.blocking })]
+}
+
+// TWICE: a worker answers a stop that is to block a start, and restarts before that is known.
+// Its next incarnation has not refused the start, so that the subtask stays held back.
+func TestBlockOfFormerIncarnationDoesNotCount(t *testing.T) {
+	r := newRig(t)
+	h := r.rows[0]
+	h.answered = true
+	p := r.startUnansweredAt(h, false)
+	u := r.unanswered[h.id][0]
+	r.blockStart(u)
+	answer := <-r.inbox
+	r.endIncarnation(h, "another incarnation answers")
+	held := p.task.HeldUntil
+	require.Equal(t, maxOrderDelay, held.Sub(r.clock.Now()))
+	r.handle(answer)
+	require.Equal(t, held, p.task.HeldUntil)
+	r.handle(<-r.inbox) // the next incarnation refuses it
+	require.Equal(t, r.Bounds.StopTime+stopSlack, p.task.HeldUntil.Sub(r.clock.Now()))
+}
+
+// TWICE: a run ends while a further try of its start is under way. That one may still be carried
+// out, by the worker's next incarnation: the end is acknowledged only when it can't be.
+func TestEndIsHeldWhileTryIsUnderWay(t *testing.T) {
+	for _, underWay := range []bool{false, true} {
+		r := newRig(t)
+		h, id := r.rows[0], r.tasks[0].ID
+		r.tasks[0].Step.LongRunning = false
+		p := h.runs[id]
+		p.inFlight, p.startSentAt = underWay, r.clock.Now()
+		j := p.job
+		r.handleEnds(h, []runs.End{{Number: 1, Task: id, Run: 1, Outcome: runs.Done}})
+		j.stored = j.version
+		r.ackStoredEnds()
+		require.Equal(t, underWay, h.ackable == 0)
+		r.clock.Advance(maxOrderDelay)
+		r.ackStoredEnds()
+		require.Equal(t, int64(1), h.ackable)
+	}
+}
+
+// TWICE: a start waits for a connection before it is sent, and is carried out 12 s after that.
+// The time in which it may be carried out is counted from the end of the try.
+func TestStartCountsFromEndOfTry(t *testing.T) {
+	r := newRig(t)
+	r.Workers.Start = func(context.Context, runs.Target, runs.Start) (runs.Reply, error) {
+		return runs.Reply{}, plat.ErrUnknown
+	}
+	h := r.rows[0]
+	p := h.runs[r.tasks[0].ID]
+	p.confirmedAt, p.task.Phase = time.Time{}, steps.Starting
+	begun := r.clock.Now()
+	r.sendStart(h, p)
+	r.handle(<-r.inbox)
+	r.endIncarnation(h, "lease is over")
+	require.Equal(t, minAnswerTimeout+maxOrderDelay, p.task.HeldUntil.Sub(begun))
+}
--- a/proof/leave_test.go
+++ b/proof/leave_test.go
@@ -18,6 +18,7 @@
 // TestLeave has a host leave under load, in each way that it can. After leaveLimit
 // no task starts on it; once it is back, it gets tasks again.
 func TestLeave(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name    string
 		leave   func(f *fleet)
@@ -98,10 +99,8 @@
 // Unix time, 0 if none has.
 func (f *fleet) lastTaskStart(host string) int64 {
 	var last int64
-	for _, r := range f.startedTasks() {
-		if r.Host == host {
-			last = max(last, r.Began)
-		}
+	for _, r := range f.startedTasksOn(host) {
+		last = max(last, r.Began)
 	}
 	return last
 }
--- a/proof/proc_test.go
+++ b/proof/proc_test.go
@@ -23,13 +23,31 @@
 // binDir holds the programs that TestMain builds.
 var binDir string
 
-// parallelFleets is the number of tests that run in parallel, each with a fleet of
-// its own.
-const parallelFleets = "6"
+const (
+	// parallelTests is the number of tests and rows that may run in parallel: all of
+	// them, since fleetSlots limits their fleets.
+	parallelTests = "100"
+	// parallelFleets is the number of fleets that run side by side, besides those that
+	// hold no slot. Fleets mostly wait for intervals; with eight, the other rows end
+	// about when those of TestWave do.
+	parallelFleets = 8
+)
+
+// fleetSlots holds one element for each fleet that runs. The rows of TestWave hold
+// none: they take longest by far, so that the package would end later if they waited.
+var fleetSlots = make(chan struct{}, parallelFleets)
+
+// takeSlot waits for a slot, which is released when the test has ended.
+func takeSlot(t *testing.T) {
+	began := time.Now()
+	fleetSlots <- struct{}{}
+	t.Cleanup(func() { <-fleetSlots })
+	t.Logf("waited %s for a slot", time.Since(began).Round(time.Millisecond))
+}
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	if err := flag.Set("test.parallel", parallelFleets); err != nil {
+	if err := flag.Set("test.parallel", parallelTests); err != nil {
 		panic(err)
 	}
 	dir, err := os.MkdirTemp("", "proof")
@@ -139,17 +157,36 @@
 	nextPort.CompareAndSwap(0, int32(firstPort+os.Getpid()%100*150))
 	for range lastPort - firstPort {
 		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+(nextPort.Add(1)-firstPort)%(lastPort-firstPort))
-		ln, err := net.Listen("tcp", addr)
-		if err != nil {
-			continue
+		if isFree(addr) {
+			return addr
 		}
-		_ = ln.Close()
-		return addr
 	}
 	require.FailNow(t, "no free port")
 	return ""
 }
 
+// isFree reports whether nothing listens on addr. No program may be started
+// meanwhile: until it executes, the new process would hold a copy of the listener and
+// with it the address.
+func isFree(addr string) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return false
+	}
+	_ = ln.Close()
+	return true
+}
+
+const (
+	// minPollInterval is the least interval at which eventually polls.
+	minPollInterval = 20 * time.Millisecond
+	// pollsPerLimit sets the interval of long waits: each poll takes time from the
+	// fleets that run beside it.
+	pollsPerLimit = 1000
+)
+
 // eventually polls ok until it returns true, and fails the test after limit. what
 // names the condition in the failure message.
 func eventually(t *testing.T, limit time.Duration, what string, ok func() bool) {
@@ -159,6 +196,6 @@
 		if time.Now().After(deadline) {
 			require.FailNow(t, fmt.Sprintf("condition not met within %s: %s", limit, what))
 		}
-		<-time.After(20 * time.Millisecond)
+		<-time.After(max(minPollInterval, limit/pollsPerLimit))
 	}
 }
