--- /dev/null
+++ b/fakes/workercall.go
@@ -0,0 +1,80 @@
+package fakes
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"shallotpaddle/plat"
+	"shallotpaddle/runs"
+)
+
+// call makes a call to a worker, subject to the injected fault; do carries it out with
+// ws.mu held. It returns plat.ErrUnavailable if the call is refused and
+// plat.ErrUnknown if it gets no answer.
+func (ws *WorkerSet) call(ctx context.Context, to runs.Target, op string, do func(w *workerState) error) error {
+	fault := ws.injectedFault(to.ID, op)
+	result := plat.ErrUnknown // unless do is called
+	deliver := func() {
+		ws.mu.Lock()
+		defer ws.mu.Unlock()
+		if w := ws.workers[to.ID]; w != nil && w.up && !w.unreachable {
+			result = do(w)
+		}
+	}
+	ws.mu.Lock()
+	w := ws.workers[to.ID]
+	reachable := w != nil && w.up && !w.unreachable
+	replaced := w != nil && !w.up && ws.addressTaken(w)
+	ws.mu.Unlock()
+	switch {
+	case replaced:
+		return errAfter(ctx, workerLatency, runs.ErrIncarnation)
+	case w != nil && !w.up:
+		return errAfter(ctx, workerLatency, plat.ErrUnavailable) // refused
+	case !reachable, fault == DropCall:
+		return errAfter(ctx, workerTimeout, plat.ErrUnknown)
+	case fault == RefuseCall:
+		return errAfter(ctx, workerLatency, plat.ErrUnavailable)
+	case fault == DropAnswer:
+		deliver()
+		return errAfter(ctx, workerTimeout, plat.ErrUnknown)
+	case fault == DelayCall:
+		// The sender may have ended by then, and another incarnation with the same ID may
+		// carry out the order.
+		time.AfterFunc(ws.lateOrderDelay(), func() { ws.afterSettling(w, deliver) })
+		return errAfter(ctx, workerTimeout, plat.ErrUnknown)
+	}
+	// An order that has been sent arrives even if its sender's context ends.
+	time.Sleep(workerLatency)
+	deliver()
+	if err := ctx.Err(); err != nil {
+		return fmt.Errorf("%w: %w", plat.ErrUnknown, err)
+	}
+	return result
+}
+
+// settling is the time from the first call that reaches an incarnation on in which an owner
+// makes it refuse what was meant for an earlier one.
+const settling = 300 * time.Millisecond
+
+// afterSettling delivers a late order, unless the worker has been replaced by an incarnation
+// that no owner has reached yet: no owner can keep that one from carrying out the order.
+func (ws *WorkerSet) afterSettling(meant *workerState, deliver func()) {
+	ws.mu.Lock()
+	w := ws.workers[meant.ID]
+	early := w != meant && (w.reachedAt.IsZero() || time.Since(w.reachedAt) < settling)
+	ws.mu.Unlock()
+	if !early {
+		deliver()
+	}
+}
+
+// lateOrderDelay returns the time after which an order with the fault DelayCall is
+// carried out.
+func (ws *WorkerSet) lateOrderDelay() time.Duration {
+	if ws.LateOrderDelay == nil {
+		return defaultOrderDelay
+	}
+	return ws.LateOrderDelay()
+}
--- a/owner/host.go
+++ b/owner/host.go
@@ -1,9 +1,6 @@
 package owner
 
 import (
-	"context"
-	"encoding/json"
-	"slices"
 	"time"
 
 	"shallotpaddle/hosts"
@@ -82,48 +79,6 @@
 	releaseTask int64
 }
 
-// placement is one run of a subtask on one worker.
-type placement struct {
-	task *steps.Task
-	job  *job
-	run  int
-	// confirmedAt is when the worker confirmed the start, or a stop before it; zero
-	// until then.
-	confirmedAt time.Time
-	// startClock is the worker's clock, in milliseconds, when the worker was first known
-	// to have the run; 0 until then. ranFor is how long it has been known to run, by the
-	// same clock.
-	startClock int64
-	ranFor     time.Duration
-	// leaseUntil is the end of the lease that the start gave, in milliseconds of the
-	// worker's clock.
-	leaseUntil  int64
-	tries       int // to start the run
-	stopTries   int
-	startSentAt time.Time // when the last try was sent
-	// sentBy is until when the last try or a copy of it may be sent: a call may wait for CPU or a
-	// connection.
-	sentBy    time.Time
-	copied    bool // a start was sent in several copies
-	inFlight  bool // a start or stop is under way
-	announced bool // see steps.Task.Announce
-	// share is the share, in percent, at which a filling run works, or shareUnknown.
-	share        int
-	paceInFlight bool      // a call to change share is under way
-	retryAt      time.Time // of a start or stop without an answer; zero for none
-	stopping     bool
-	stoppedAt    time.Time // when the stop was confirmed
-	// stray tells that the run was not the current one of its subtask when a worker listed it.
-	stray bool
-}
-
-// lastSentAt returns when the last start was sent, at the latest.
-func (p *placement) lastSentAt() time.Time { return later(p.startSentAt, p.sentBy) }
-
-// mayHaveStarted reports whether another start than the one that was answered last may have
-// been carried out.
-func (p *placement) mayHaveStarted() bool { return p.tries > 1 || p.copied }
-
 const (
 	// maxClockSlowness is the fraction by which a worker's clock may run slow.
 	maxClockSlowness = 0.02
@@ -209,68 +164,6 @@
 	return min(time.Duration(float64(o.Bounds.MaxLease)*leaseFraction), longest)
 }
 
-// rosterEntry is a worker that may have runs of the pool.
-type rosterEntry struct {
-	ID        string `json:"id"`
-	Address   string `json:"addr"`
-	StartedMs int64  `json:"born,omitempty"`
-}
-
-func (h *host) rosterEntry() rosterEntry { return rosterEntry{h.id, h.worker.Address, h.startedMs} }
-
-func (o *Owner) encodeRoster() []byte {
-	list := append(make([]rosterEntry, 0, len(o.hosts)), o.missing...)
-	for _, h := range o.hosts {
-		if !slices.ContainsFunc(o.missing, func(e rosterEntry) bool { return e.ID == h.id }) {
-			list = append(list, h.rosterEntry())
-		}
-	}
-	slices.SortFunc(list, func(a, b rosterEntry) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
-	b, err := json.Marshal(list)
-	if err != nil {
-		o.Log.Error().Err(err).Msg("encoding the list of workers failed")
-	}
-	return b
-}
-
-// readRoster reads the workers that an earlier owner used, which may run its
-// subtasks even if they are no longer registered, and the digest's revision.
-func (o *Owner) readRoster(ctx context.Context) error {
-	items, _, err := o.Store.List(ctx, o.roster.key)
-	if err != nil {
-		return err
-	}
-	for _, it := range items {
-		if it.Key != o.roster.key {
-			continue
-		}
-		o.roster.rev = it.Rev
-		var list []rosterEntry
-		if err := json.Unmarshal(it.Value, &list); err != nil {
-			o.Log.Error().Str("pool", o.Pool).Err(err).Msg("stored list of workers is not readable")
-			continue
-		}
-		for _, e := range list {
-			o.hosts[e.ID] = newHost(hosts.Worker{ID: e.ID, Pool: o.Pool, Address: e.Address, StartedMs: e.StartedMs})
-		}
-	}
-	items, _, err = o.Store.List(ctx, o.digest.key)
-	if err != nil {
-		return err
-	}
-	for _, it := range items {
-		if it.Key == o.digest.key {
-			o.digest.rev = it.Rev
-		}
-	}
-	return nil
-}
-
 // updateWorkers applies the list of registered workers.
 func (o *Owner) updateWorkers(list []hosts.Worker) {
 	now := o.Clock.Now()
@@ -381,46 +274,6 @@
 	p.job.restartVersion = p.job.version
 }
 
-// freeRoom removes a run from a worker and frees its resources.
-func (o *Owner) freeRoom(h *host, p *placement) {
-	if h.runs[p.task.ID] != p {
-		return
-	}
-	delete(h.runs, p.task.ID)
-	o.forgetStray(p)
-	s := p.task.Step
-	if !s.Fills {
-		h.used.CPU -= s.CPU
-	}
-	h.used.Mem -= s.Mem
-	h.used.GPU -= s.GPU
-	p.job.activeTasks--
-}
-
-// forgetStray lets the subtask of a run that was not current start again, once the run has
-// ended.
-func (o *Owner) forgetStray(p *placement) {
-	if !p.stray {
-		return
-	}
-	if o.strays[p.task]--; o.strays[p.task] == 0 {
-		delete(o.strays, p.task)
-	}
-	o.passNeeded = true
-}
-
-// reserveRoom adds a run to a worker and reserves its resources.
-func (o *Owner) reserveRoom(h *host, p *placement) {
-	h.runs[p.task.ID] = p
-	s := p.task.Step
-	if !s.Fills {
-		h.used.CPU += s.CPU
-	}
-	h.used.Mem += s.Mem
-	h.used.GPU += s.GPU
-	p.job.activeTasks++
-}
-
 // expireLeases gives up workers that don't answer and whose leases have expired. It
 // also detects the end of the takeover.
 func (o *Owner) expireLeases(now time.Time) {
--- /dev/null
+++ b/owner/roster.go
@@ -0,0 +1,71 @@
+package owner
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+
+	"shallotpaddle/hosts"
+)
+
+// rosterEntry is a worker that may have runs of the pool.
+type rosterEntry struct {
+	ID        string `json:"id"`
+	Address   string `json:"addr"`
+	StartedMs int64  `json:"born,omitempty"`
+}
+
+func (h *host) rosterEntry() rosterEntry { return rosterEntry{h.id, h.worker.Address, h.startedMs} }
+
+func (o *Owner) encodeRoster() []byte {
+	list := append(make([]rosterEntry, 0, len(o.hosts)), o.missing...)
+	for _, h := range o.hosts {
+		if !slices.ContainsFunc(o.missing, func(e rosterEntry) bool { return e.ID == h.id }) {
+			list = append(list, h.rosterEntry())
+		}
+	}
+	slices.SortFunc(list, func(a, b rosterEntry) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	b, err := json.Marshal(list)
+	if err != nil {
+		o.Log.Error().Err(err).Msg("encoding the list of workers failed")
+	}
+	return b
+}
+
+// readRoster reads the workers that an earlier owner used, which may run its
+// subtasks even if they are no longer registered, and the digest's revision.
+func (o *Owner) readRoster(ctx context.Context) error {
+	items, _, err := o.Store.List(ctx, o.roster.key)
+	if err != nil {
+		return err
+	}
+	for _, it := range items {
+		if it.Key != o.roster.key {
+			continue
+		}
+		o.roster.rev = it.Rev
+		var list []rosterEntry
+		if err := json.Unmarshal(it.Value, &list); err != nil {
+			o.Log.Error().Str("pool", o.Pool).Err(err).Msg("stored list of workers is not readable")
+			continue
+		}
+		for _, e := range list {
+			o.hosts[e.ID] = newHost(hosts.Worker{ID: e.ID, Pool: o.Pool, Address: e.Address, StartedMs: e.StartedMs})
+		}
+	}
+	items, _, err = o.Store.List(ctx, o.digest.key)
+	if err != nil {
+		return err
+	}
+	for _, it := range items {
+		if it.Key == o.digest.key {
+			o.digest.rev = it.Rev
+		}
+	}
+	return nil
+}
