owner: limit the addresses that are told the token at a time

After a takeover, an owner calls the address of each lost worker ten times a second until something answers, for up to 13 s.

--- a/owner/former.go
+++ b/owner/former.go
@@ -15,6 +15,9 @@
 	// formerPollInterval is how often idle workers are polled meanwhile. These polls don't
 	// wait, as a worker that is polled does not count as empty.
 	formerPollInterval = 250 * time.Millisecond
+	// maxAnnouncements limits the addresses of lost workers that are told the token at a time:
+	// when hundreds of workers are lost, calls to them would take the CPU of all others.
+	maxAnnouncements = 32
 )
 
 // formerOrdersMayCome reports whether orders of an earlier owner may still be carried out by
@@ -27,11 +30,13 @@
 // token as soon as it is up, while an order of an earlier owner may be carried out there. The
 // worker may be registered only later.
 func (o *Owner) announceTokenAt(h *host) {
-	if !o.formerOrdersMayCome(o.Clock.Now()) {
+	if !o.formerOrdersMayCome(o.Clock.Now()) || o.announcements.Load() >= maxAnnouncements {
 		return
 	}
+	o.announcements.Add(1)
 	to := h.target()
 	go func() {
+		defer o.announcements.Add(-1)
 		for o.ctx.Err() == nil && o.formerOrdersMayCome(o.Clock.Now()) {
 			ctx, cancel := context.WithTimeout(o.ctx, minAnswerTimeout)
 			_, err := o.Workers.Renew(ctx, to, runs.Renew{Fence: o.Fence})
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -155,6 +155,8 @@
 	restartsWait bool
 	// trialHosts has the worker on which each subtask starts whose trial is announced.
 	trialHosts map[*steps.Task]*host
+	// announcements counts the addresses of lost workers that are being told the token.
+	announcements atomic.Int32
 	// strays counts the runs of each subtask that are being stopped as they are not current.
 	strays map[*steps.Task]int
 	// forecasts predict run times from past ones, by queue.
