owner: make passes rarer only while calls are lost

The gap now depends on the time of a pass only while a third of the workers at work lose calls.

TestPassGapFollowsDuration has both cases; it failed before for calls that are not lost.

--- a/owner/copies.go
+++ b/owner/copies.go
@@ -76,9 +76,9 @@
 			lost++
 		}
 	}
-	many := lost >= minLosers && lost*losersShare >= up
+	o.callsLost = lost >= minLosers && lost*losersShare >= up
 	for _, h := range o.hosts {
-		h.othersLose = many
+		h.othersLose = o.callsLost
 	}
 }
 
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -142,6 +142,8 @@
 	forgottenAt       time.Time // when orders were last dropped from the two
 	questionsInFlight int       // to the advisor
 	callsInFlight     int       // starts and stops
+	// callsLost tells that many workers at work have lost calls lately.
+	callsLost bool
 	// trialsWait tells that in the last scheduling pass a subtask that may have crashed a
 	// worker found none to start on.
 	trialsWait bool
@@ -322,7 +324,7 @@
 		o.passNeeded = true
 	}
 	if o.passNeeded {
-		if wait := max(passGap(o.passTime)-now.Sub(o.lastPass), o.ordersFrom.Sub(now)); wait > 0 {
+		if wait := max(o.passGap()-now.Sub(o.lastPass), o.ordersFrom.Sub(now)); wait > 0 {
 			next = wait
 		} else {
 			o.passNeeded = false
@@ -342,9 +344,13 @@
 	return max(min(next, o.untilNextDue(now)), time.Millisecond)
 }
 
-// passGap returns the time from one scheduling pass to the next, from what the last took.
-func passGap(took time.Duration) time.Duration {
-	return max(minPassGap, min(passGapFactor*took, maxBusyPassGap))
+// passGap returns the time from one scheduling pass to the next. It follows from what the last
+// took while calls are lost, which cost several times the CPU of others.
+func (o *Owner) passGap() time.Duration {
+	if !o.callsLost {
+		return minPassGap
+	}
+	return max(minPassGap, min(passGapFactor*o.passTime, maxBusyPassGap))
 }
 
 // suspendedFor is the time between two rounds of the loop from which on the entry counts as
--- a/owner/pass_test.go
+++ b/owner/pass_test.go
@@ -7,14 +7,19 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Passes over many waiting jobs leave most of the CPU to calls, and none waits for long.
+// Passes over many waiting jobs leave most of the CPU to calls while these are lost, and none
+// waits for long.
 func TestPassGapFollowsDuration(t *testing.T) {
+	r := newRig(t)
 	for took, want := range map[time.Duration]time.Duration{
 		0:                      minPassGap,
 		100 * time.Microsecond: minPassGap,
 		time.Millisecond:       20 * time.Millisecond,
 		time.Second:            maxBusyPassGap,
 	} {
-		require.Equal(t, want, passGap(took), took)
+		r.passTime, r.callsLost = took, true
+		require.Equal(t, want, r.passGap(), took)
+		r.callsLost = false
+		require.Equal(t, minPassGap, r.passGap(), took)
 	}
 }
