--- a/owner/host.go
+++ b/owner/host.go
@@ -187,6 +187,11 @@
 		return // its registration has yet to be removed
 	}
 	h := o.hosts[w.ID]
+	if h != nil && h.contradicts(w) {
+		o.Log.Warn().Str("pool", o.Pool).Str("host", h.id).Int64("born", h.startedMs).Int64("registeredBorn", w.StartedMs).
+			Str("address", h.worker.Address).Str("registeredAddress", w.Address).Int64("rev", w.Rev).Bool("answered", h.answered).
+			Dur("sinceAnswer", now.Sub(h.clockAt)).Int("runs", len(h.runs)).Msg("registration contradicts what is known of the worker")
+	}
 	if h != nil && w.StartedMs != 0 && h.startedMs != 0 && w.StartedMs > h.startedMs {
 		o.replaceIncarnation(h, "another incarnation is registered")
 		h = nil
@@ -218,6 +223,11 @@
 	}
 }
 
+// contradicts reports whether a registration names another incarnation or address than is known.
+func (h *host) contradicts(w hosts.Worker) bool {
+	return w.StartedMs != 0 && h.startedMs != 0 && w.StartedMs != h.startedMs || w.Address != h.worker.Address
+}
+
 // replaceIncarnation removes a worker that has started again under its ID. The starts that
 // were answered since its last report may have been answered by the next incarnation.
 func (o *Owner) replaceIncarnation(h *host, why string) {
@@ -241,7 +251,7 @@
 // endIncarnation removes a worker of which nothing runs any more, and lets its
 // subtasks start again.
 func (o *Owner) endIncarnation(h *host, why string) {
-	o.Log.Info().Str("pool", o.Pool).Str("host", h.id).Int64("born", h.startedMs).Int("runs", len(h.runs)).
+	o.Log.Info().Str("pool", o.Pool).Str("host", h.id).Str("address", h.worker.Address).Int64("born", h.startedMs).Int("runs", len(h.runs)).
 		Str("cause", why).Msg("worker incarnation ended")
 	if h.polling {
 		o.recordLateOrder(h, h.polledAt, h.pollAcks)
