owner, fakes: reproduce runs started again by an odd registration

A worker runs subtasks while its registration names another born or address for 1 s or 20 s, as another writer would leave it. The stand-in of workers looked at the ID of a call only; it looks at the address as well now.

--- a/fakes/crash.go
+++ b/fakes/crash.go
@@ -104,10 +104,11 @@
 	return out
 }
 
-// addressTaken tells whether another worker is up at the address of one that is not.
-func (ws *WorkerSet) addressTaken(w *workerState) bool {
+// addressTaken tells whether another worker than w, which may be nil, is up at an address and
+// can be reached.
+func (ws *WorkerSet) addressTaken(w *workerState, address string) bool {
 	for _, other := range ws.workers {
-		if other != w && other.up && other.Address == w.Address {
+		if other != w && other.up && !other.unreachable && other.Address == address {
 			return true
 		}
 	}
--- a/fakes/workercall.go
+++ b/fakes/workercall.go
@@ -18,19 +18,20 @@
 	deliver := func() {
 		ws.mu.Lock()
 		defer ws.mu.Unlock()
-		if w := ws.workers[to.ID]; w != nil && w.up && !w.unreachable {
+		if w := ws.workers[to.ID]; w != nil && w.isAt(to.Address) && w.up && !w.unreachable {
 			result = do(w)
 		}
 	}
 	ws.mu.Lock()
 	w := ws.workers[to.ID]
-	reachable := w != nil && w.up && !w.unreachable
-	replaced := w != nil && !w.up && ws.addressTaken(w)
+	astray := w == nil || !w.isAt(to.Address)
+	reachable := !astray && w.up && !w.unreachable
+	replaced := (astray || !w.up) && ws.addressTaken(w, to.Address)
 	ws.mu.Unlock()
 	switch {
 	case replaced:
 		return errAfter(ctx, workerLatency, runs.ErrIncarnation)
-	case w != nil && !w.up:
+	case !astray && !w.up:
 		return errAfter(ctx, workerLatency, plat.ErrUnavailable) // refused
 	case !reachable, fault == DropCall:
 		return errAfter(ctx, workerTimeout, plat.ErrUnknown)
@@ -54,6 +55,9 @@
 	return result
 }
 
+// isAt reports whether a call to the address reaches the worker; a call without an address does.
+func (w *workerState) isAt(address string) bool { return address == "" || address == w.Address }
+
 // settling is the time from the first call that reaches an incarnation on in which an owner
 // makes it refuse what was meant for an earlier one.
 const settling = 300 * time.Millisecond
--- a/owner/pool_test.go
+++ b/owner/pool_test.go
@@ -45,6 +45,9 @@
 	commit func(ctx context.Context, t plat.Txn) (int64, []plat.Item, error)
 	start  func(ctx context.Context, to runs.Target, s runs.Start) (runs.Reply, error)
 	renew  func(ctx context.Context, to runs.Target, n runs.Renew) (runs.Report, error)
+	// registrations returns the registrations that owners read. Tests replace it to make some of
+	// them odd.
+	registrations func() []hosts.Worker
 
 	mu          sync.Mutex
 	entries     map[string]*entry
@@ -132,6 +135,7 @@
 		pool.log.Writer = log.IOWriter{Writer: os.Stderr}
 	}
 	pool.commit, pool.start, pool.renew = pool.kv.Commit, pool.workers.Start, pool.workers.Renew
+	pool.registrations = pool.workers.Registered
 	pool.workers.OnAckedEnd = pool.unrecordedEnd
 	lengths := rand.New(rand.NewPCG(seed, 8))
 	var mu sync.Mutex
@@ -262,7 +266,10 @@
 	}()
 	go func() {
 		for run.Err() == nil {
-			o.SetWorkers(pool.workers.Registered())
+			pool.mu.Lock()
+			registrations := pool.registrations
+			pool.mu.Unlock()
+			o.SetWorkers(registrations())
 			select {
 			case <-time.After(700 * time.Millisecond):
 			case <-run.Done():
