owner: end no incarnation by what a registration says of it

Cause: an owner believed a registration that the worker itself had not confirmed. A later born ended the live incarnation, and another address was called from then on; the worker there refuses calls that are not meant for it, which counted as the end of the incarnation. What ran there started elsewhere at once, while it went on. The entry may come from another writer, or from a worker whose clock was wrong as it started.

Now a registration that contradicts a worker which has answered, or which an earlier owner has stored, is a claim (claim.go). The owner asks at the registered address with a call that gives no lease and acknowledges nothing: an answer by another incarnation replaces the one that is known, an answer by that one, also to a later poll, refutes the claim, and without any answer the lease decides. The address at which an incarnation has answered is kept. Incarnations are compared for being the same only, so that a clock that was set back over a restart makes no difference. While the registration contradicts the worker, it gets no new starts. A poll without a lease is no longer counted as one that gave the next incarnation a lease.

Tests changed: TestLeaseOfWorkerRestartedAfterTakeoverIsWaitedFor and TestRestartedWorkerGoesOnResting let a registration alone bring the next incarnation; now it is found by its own answer, which they assert in addition. The rig of these tests answers polls (as lost).

--- a/owner/formerlease_test.go
+++ b/owner/formerlease_test.go
@@ -20,6 +20,7 @@
 	report := func(born int64) {
 		r.updateWorker(hosts.Worker{ID: "w", StartedMs: born}, r.clock.Now())
 		r.handlePoll(pollResult{host: r.hosts["w"], sent: r.clock.Now(), report: runs.Report{Reply: runs.Reply{ClockMs: born, StartedMs: born}}})
+		require.Equal(t, born, r.hosts["w"].startedMs)
 	}
 	report(1000)
 	r.clock.Advance(2 * time.Second)
--- a/owner/host.go
+++ b/owner/host.go
@@ -22,8 +22,12 @@
 	rosterVersion int
 	// answered is true once this incarnation has answered a poll, and so has seen the
 	// owner's fencing token.
-	answered  bool
+	answered bool
+	// inherited tells that an earlier owner has stored the worker in the roster.
+	inherited bool
 	startedMs int64
+	// claim is the worker's registration if that contradicts the worker, else nil.
+	claim *claim
 	// clock is the worker's clock, in milliseconds, as read at clockAt or earlier.
 	clock   int64
 	clockAt time.Time
@@ -152,7 +156,7 @@
 // usable reports whether the worker may get new work. storedRoster is the version
 // of the roster that is stored.
 func (h *host) usable(now time.Time, storedRoster int) bool {
-	return h.listed && h.answered && h.failingSince.IsZero() && !h.worker.Draining && h.releaseTask == 0 && h.withheld < maxWithheld && h.rosterVersion <= storedRoster && !now.Before(h.noRoomUntil)
+	return h.listed && h.answered && h.failingSince.IsZero() && h.claim == nil && !h.worker.Draining && h.releaseTask == 0 && h.withheld < maxWithheld && h.rosterVersion <= storedRoster && !now.Before(h.noRoomUntil)
 }
 
 // leaseLength returns the length of the leases that the owner gives.
@@ -174,7 +178,11 @@
 		o.updateWorker(w, now)
 	}
 	for _, h := range o.hosts {
-		if h.listed && !present[h.id] {
+		if present[h.id] {
+			continue
+		}
+		h.claim = nil
+		if h.listed {
 			h.listed = false
 			o.Log.Info().Str("pool", o.Pool).Str("host", h.id).Int("runs", len(h.runs)).Msg("worker is no longer registered")
 		}
@@ -187,18 +195,16 @@
 		return // its registration has yet to be removed
 	}
 	h := o.hosts[w.ID]
-	if h != nil && h.contradicts(w) {
-		o.Log.Warn().Str("pool", o.Pool).Str("host", h.id).Int64("born", h.startedMs).Int64("registeredBorn", w.StartedMs).
-			Str("address", h.worker.Address).Str("registeredAddress", w.Address).Int64("rev", w.Rev).Bool("answered", h.answered).
-			Dur("sinceAnswer", now.Sub(h.clockAt)).Int("runs", len(h.runs)).Msg("registration contradicts what is known of the worker")
-	}
-	if h != nil && w.StartedMs != 0 && h.startedMs != 0 && w.StartedMs > h.startedMs {
-		o.replaceIncarnation(h, "another incarnation is registered")
+	switch {
+	case h == nil:
+	case !h.contradicts(w):
+		h.claim = nil
+	case h.proven():
+		o.contest(h, w, now)
+		return
+	default:
 		h = nil
 	}
-	if h != nil && w.StartedMs != 0 && w.StartedMs < h.startedMs {
-		return // of an earlier incarnation
-	}
 	if h == nil {
 		h = newHost(w)
 		h.releaseTask = o.fleetPlan.Release[w.ID]
@@ -223,11 +229,6 @@
 	}
 }
 
-// contradicts reports whether a registration names another incarnation or address than is known.
-func (h *host) contradicts(w hosts.Worker) bool {
-	return w.StartedMs != 0 && h.startedMs != 0 && w.StartedMs != h.startedMs || w.Address != h.worker.Address
-}
-
 // replaceIncarnation removes a worker that has started again under its ID. The starts that
 // were answered since its last report may have been answered by the next incarnation.
 func (o *Owner) replaceIncarnation(h *host, why string) {
@@ -241,7 +242,7 @@
 
 // loseIncarnation removes a worker that has crashed, or was given up.
 func (o *Owner) loseIncarnation(h *host, why string) {
-	if !h.answered && !o.takeoverDone {
+	if h.inherited && !h.answered && !o.takeoverDone {
 		o.missing = append(o.missing, h.rosterEntry())
 	}
 	o.recordCrash(h, o.Clock.Now())
@@ -294,7 +295,7 @@
 			o.announceTokenAt(h)
 		case h.answered && h.failingSince.IsZero():
 		case h.leaseExpired(now, o.pollsSince):
-			if h.listed && h.answered && !h.leaseExpired(now.Add(-unreachableGrace), o.pollsSince) {
+			if h.listed && h.answered && !h.mayHaveRestarted() && !h.leaseExpired(now.Add(-unreachableGrace), o.pollsSince) {
 				o.freeLongRunning(h)
 				continue
 			}
--- a/owner/late_test.go
+++ b/owner/late_test.go
@@ -91,6 +91,9 @@
 	r.handlePoll(pollResult{host: h, sent: r.clock.Now(), acked: 5, err: plat.ErrUnknown})
 	next := hosts.Worker{ID: "w", StartedMs: 2000}
 	r.updateWorker(next, r.clock.Now())
+	r.handlePoll(pollResult{host: h, sent: r.clock.Now(), report: runs.Report{Reply: runs.Reply{ClockMs: 50, StartedMs: 2000}}})
+	require.Equal(t, int64(2000), r.hosts["w"].startedMs)
+	require.Equal(t, maxOrderDelay, r.hosts["w"].noRoomUntil.Sub(r.clock.Now()))
 	r.handlePoll(pollResult{host: r.hosts["w"], sent: r.clock.Now(), err: plat.ErrUnknown})
 	r.endIncarnation(r.hosts["w"], "lease is over")
 	r.updateWorker(next, r.clock.Now())
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -303,6 +303,8 @@
 		o.handleBlocked(m)
 	case pollResult:
 		o.handlePoll(m)
+	case claimAnswer:
+		o.handleClaim(m)
 	case commitResult:
 		o.handleCommitted(m)
 	case adviceResult:
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"shallotpaddle/hosts"
 	"shallotpaddle/plat"
 	"shallotpaddle/runs"
 	"shallotpaddle/steps"
@@ -27,13 +26,15 @@
 
 // pollResult is the result of a poll: a worker's report or an error.
 type pollResult struct {
-	host   *host
-	report runs.Report
-	sent   time.Time
-	wait   time.Duration // that the worker was allowed
-	acked  int64         // the highest end acknowledged by the poll
-	copies copies
-	err    error
+	host    *host
+	address string // that was called
+	report  runs.Report
+	sent    time.Time
+	wait    time.Duration // that the worker was allowed
+	acked   int64         // the highest end acknowledged by the poll
+	leased  bool          // the poll extended the lease
+	copies  copies
+	err     error
 }
 
 // pollDue reports whether a worker is to be polled now.
@@ -57,6 +58,7 @@
 func (o *Owner) pollHosts(now time.Time) {
 	o.markLosses(now)
 	for _, h := range o.hosts {
+		o.askClaimant(h, now)
 		h.awaitsStarts = len(o.unanswered[h.id]) > 0
 		h.proofDue = o.inDoubt && now.Sub(h.clockAt) >= doubtPollInterval || o.formerOrdersMayCome(now) && now.Sub(h.clockAt) >= formerPollInterval
 		if h.pollDue(now) {
@@ -114,7 +116,7 @@
 			}
 			return o.Workers.Renew(ctx, to, n)
 		})
-		o.post(pollResult{h, r, now, wait, n.AckedThrough, c, err})
+		o.post(pollResult{h, to.Address, r, now, wait, n.AckedThrough, n.UntilMs > 0, c, err})
 	}()
 }
 
@@ -147,17 +149,10 @@
 		return
 	}
 	if m.report.StartedMs != 0 && h.startedMs != 0 && m.report.StartedMs != h.startedMs {
-		w := h.worker
-		o.recordLateOrder(h, m.sent, false) // the next incarnation has taken its lease
-		o.replaceIncarnation(h, "another incarnation answers")
-		w.StartedMs = m.report.StartedMs
-		w.Capacity, w.Labels, w.Rack = hosts.Resources{}, nil, "" // until it is registered
-		o.updateWorker(w, now)
-		if m.host = o.hosts[w.ID]; m.host != nil {
-			o.handlePoll(m) // a subtask that it runs must not start elsewhere
-		}
+		o.takeIncarnation(h, m)
 		return
 	}
+	o.refuteByPoll(h, m.sent)
 	if now.Sub(m.sent)-m.wait < minAnswerTimeout {
 		h.failedPolls = 0 // else it is slow, and the next calls may take as long
 	}
--- a/owner/release_test.go
+++ b/owner/release_test.go
@@ -39,6 +39,8 @@
 		Workers: Workers{Stop: func(_ context.Context, _ runs.Target, s runs.Stop) (runs.Reply, error) {
 			r.stops <- s
 			return runs.Reply{}, nil
+		}, Renew: func(context.Context, runs.Target, runs.Renew) (runs.Report, error) {
+			return runs.Report{}, plat.ErrUnknown
 		}},
 	})
 	r.ctx, r.startedAt = t.Context(), r.clock.Now()
--- a/owner/roster.go
+++ b/owner/roster.go
@@ -55,7 +55,9 @@
 			continue
 		}
 		for _, e := range list {
-			o.hosts[e.ID] = newHost(hosts.Worker{ID: e.ID, Pool: o.Pool, Address: e.Address, StartedMs: e.StartedMs})
+			h := newHost(hosts.Worker{ID: e.ID, Pool: o.Pool, Address: e.Address, StartedMs: e.StartedMs})
+			h.inherited = true
+			o.hosts[e.ID] = h
 		}
 	}
 	items, _, err = o.Store.List(ctx, o.digest.key)
