--- a/owner/pool_test.go
+++ b/owner/pool_test.go
@@ -45,6 +45,8 @@
 	commit func(ctx context.Context, t plat.Txn) (int64, []plat.Item, error)
 	start  func(ctx context.Context, to runs.Target, s runs.Start) (runs.Reply, error)
 	renew  func(ctx context.Context, to runs.Target, n runs.Renew) (runs.Report, error)
+	// list returns the registered workers as owners read them. Tests replace it.
+	list func() []hosts.Worker
 
 	mu          sync.Mutex
 	entries     map[string]*entry
@@ -131,7 +133,7 @@
 	if os.Getenv("MODEL_LOG") != "" {
 		pool.log.Writer = log.IOWriter{Writer: os.Stderr}
 	}
-	pool.commit, pool.start, pool.renew = pool.kv.Commit, pool.workers.Start, pool.workers.Renew
+	pool.commit, pool.start, pool.renew, pool.list = pool.kv.Commit, pool.workers.Start, pool.workers.Renew, pool.workers.Registered
 	pool.workers.OnAckedEnd = pool.unrecordedEnd
 	lengths := rand.New(rand.NewPCG(seed, 8))
 	var mu sync.Mutex
@@ -262,7 +264,7 @@
 	}()
 	go func() {
 		for run.Err() == nil {
-			o.SetWorkers(pool.workers.Registered())
+			o.SetWorkers(pool.list())
 			select {
 			case <-time.After(700 * time.Millisecond):
 			case <-run.Done():
