--- a/owner/registration_test.go
+++ b/owner/registration_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math"
 	"testing"
 	"time"
 
@@ -14,39 +13,22 @@
 	"shallotpaddle/steps"
 )
 
-// oddRegistrations change the registration of a live worker as another writer might; other is
-// the address of another worker.
-var oddRegistrations = map[string]func(w *hosts.Worker, other string){
-	"born an hour ahead":            func(w *hosts.Worker, _ string) { w.StartedMs += time.Hour.Milliseconds() },
-	"born at the end of time":       func(w *hosts.Worker, _ string) { w.StartedMs = math.MaxInt64 },
-	"born an hour back":             func(w *hosts.Worker, _ string) { w.StartedMs -= time.Hour.Milliseconds() },
-	"born missing":                  func(w *hosts.Worker, _ string) { w.StartedMs = 0 },
-	"address of another worker":     func(w *hosts.Worker, other string) { w.Address = other },
-	"address where nobody answers":  func(w *hosts.Worker, _ string) { w.Address = "10.9.9.9:80" },
-	"address with a port too large": func(w *hosts.Worker, _ string) { w.Address = "10.0.0.1:99999" },
-	"born ahead, address of another worker": func(w *hosts.Worker, other string) {
-		w.StartedMs, w.Address = w.StartedMs+time.Hour.Milliseconds(), other
-	},
+// oddIdentities are the odd entries that name another incarnation or address of a worker.
+var oddIdentities = []string{
+	"born an hour ahead", "born at the end of time", "born an hour back", "born is missing",
+	"address of another worker", "address of nobody", "born ahead, address of another worker",
 }
 
 // makeOdd makes the registration of a worker odd for a while.
-func (pool *testPool) makeOdd(id string, change func(w *hosts.Worker, other string), during time.Duration) {
-	pool.setRegistrations(func() []hosts.Worker {
-		list := pool.workers.Registered()
-		for i := range list {
-			if list[i].ID == id {
-				change(&list[i], list[(i+1)%len(list)].Address)
-			}
-		}
-		return list
-	})
-	time.AfterFunc(during, func() { pool.setRegistrations(pool.workers.Registered) })
+func (pool *testPool) makeOdd(id string, odd oddEntry, during time.Duration) {
+	pool.setList(func() []hosts.Worker { return withOddEntry(pool.workers.Registered(), odd, id) })
+	time.AfterFunc(during, func() { pool.setList(pool.workers.Registered) })
 }
 
-func (pool *testPool) setRegistrations(f func() []hosts.Worker) {
+func (pool *testPool) setList(f func() []hosts.Worker) {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
-	pool.registrations = f
+	pool.list = f
 }
 
 // submitOddJob submits a job of which each worker runs long-running and other subtasks, and
@@ -62,12 +44,12 @@
 // The runs that go on there start nowhere else, and none is lost.
 func TestOddRegistrationEndsNoLiveIncarnation(t *testing.T) {
 	const job = "0000000000000001"
-	for name, change := range oddRegistrations {
+	for _, name := range oddIdentities {
 		for _, during := range []time.Duration{time.Second, 20 * time.Second} {
 			for _, newOwner := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%s for %s, new owner %v", name, during, newOwner), func(t *testing.T) {
 					withoutFaults(t, 3, func(ctx context.Context, pool *testPool) {
-						pool.makeOdd(pool.submitOddJob(job), change, during)
+						pool.makeOdd(pool.submitOddJob(job), oddEntries[name], during)
 						if newOwner {
 							pool.kill(ctx, pool.leader())
 						}
@@ -84,14 +66,14 @@
 // TWICE: the same while the worker is cut off from the owner and runs on.
 func TestOddRegistrationOfWorkerThatIsCutOff(t *testing.T) {
 	const job = "0000000000000001"
-	for name, change := range oddRegistrations {
+	for _, name := range oddIdentities {
 		for _, during := range []time.Duration{time.Second, 20 * time.Second} {
 			t.Run(fmt.Sprintf("%s for %s", name, during), func(t *testing.T) {
 				withoutFaults(t, 3, func(_ context.Context, pool *testPool) {
 					id := pool.submitOddJob(job)
 					pool.workers.SetUnreachable(id, true)
 					time.Sleep(300 * time.Millisecond)
-					pool.makeOdd(id, change, during)
+					pool.makeOdd(id, oddEntries[name], during)
 					time.Sleep(during + 4*time.Second)
 					pool.workers.SetUnreachable(id, false)
 					time.Sleep(time.Minute)
