agent: log a malformed registration once per change

Change: plat.Malformed remembers what a reading of a list could not use, at most 1000 entries, and says what is new. A line names key, revision and reason, another says that the registration is fine again or gone. Lines on waves, configuration and plan name key and revision too.

Evidence: TestOddRegistrationIsLoggedOnce failed before: 20 lines for 20 readings. With the stand-in of the store, TestOddRegistrationAmongGoodOnes (1002 workers over three pages, ten odd values at eight places), TestOddOperatorKeysAreSkipped and TestOddPlan passed before and after: one odd entry stops neither list nor watch.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -67,7 +67,9 @@
 	advisor *platform.Advisor
 	stats   *owner.Stats
 	jobAPI  *jobAPI
-	elector *elect.Elector
+	// registrations is used by the goroutine of pollWorkers only.
+	registrations *registrations
+	elector       *elect.Elector
 
 	version  atomic.Pointer[policy.Version]
 	stopping atomic.Bool
@@ -98,6 +100,7 @@
 		runners: map[string]*runner{}, waves: map[string]fleet.Wave{}, ownerAdded: make(chan struct{}, 1),
 	}
 	a.settings.Store(set)
+	a.registrations = newRegistrations(logger)
 	a.writer = hedge.New(hedge.Params{
 		Commit: a.store.Commit, Grant: a.store.Grant, Renew: a.store.Renew, Clock: clock, Timeout: platform.StoreTimeout,
 		Repeats: metrics.NewRegisteredCounter("store.repeats", a.registry),
--- a/agent/follow.go
+++ b/agent/follow.go
@@ -97,7 +97,7 @@
 	a.watchPrefix(ctx, prefixWatch{prefix: fleet.PlanPrefix, timeout: planWatchTimeout, idle: idle, apply: func(it plat.Item) {
 		p, err := decodePlan(it)
 		if err != nil {
-			a.log.Error().Str("key", it.Key).Err(err).Msg("fleet plan cannot be decoded")
+			a.log.Error().Str("key", it.Key).Int64("rev", it.Rev).Err(err).Msg("fleet plan cannot be decoded")
 			return
 		}
 		incoming := 0
@@ -148,7 +148,7 @@
 	}
 	w, err := platform.DecodeWave(it)
 	if err != nil {
-		a.log.Error().Err(err).Msg("maintenance wave cannot be decoded")
+		a.log.Error().Str("key", it.Key).Int64("rev", it.Rev).Err(err).Msg("maintenance wave cannot be decoded")
 		return
 	}
 	if _, known := a.waves[it.Key]; !known {
@@ -181,7 +181,7 @@
 	}
 	v, err := platform.DecodeConfig(it.Value)
 	if err != nil {
-		a.log.Error().Int64("rev", it.Rev).Err(err).Msg("configuration cannot be decoded")
+		a.log.Error().Str("key", it.Key).Int64("rev", it.Rev).Err(err).Msg("configuration cannot be decoded")
 		return
 	}
 	if old := a.version.Load(); old != nil && old.Number >= v.Number {
@@ -223,19 +223,19 @@
 	if a.ownerCount() == 0 {
 		return
 	}
-	items, _, err := a.store.List(ctx, platform.WorkerPrefix)
+	byPool, err := a.listWorkers(ctx)
 	if err != nil {
 		a.log.Warn().Err(err).Msg("reading the registered workers failed")
 		return
 	}
-	byPool := map[string][]hosts.Worker{}
-	for _, it := range items {
-		w, err := platform.DecodeWorker(it)
-		if err != nil {
-			a.log.Warn().Err(err).Msg("worker registration cannot be decoded")
-			continue
-		}
-		byPool[w.Pool] = append(byPool[w.Pool], w)
-	}
 	a.eachOwner(func(pool string, o *owner.Owner) { o.SetWorkers(byPool[pool]) })
 }
+
+// listWorkers returns the registered workers by pool.
+func (a *Agent) listWorkers(ctx context.Context) (map[string][]hosts.Worker, error) {
+	items, _, err := a.store.List(ctx, platform.WorkerPrefix)
+	if err != nil {
+		return nil, err
+	}
+	return a.registrations.byPool(items), nil
+}
