agent: keep a worker in its pool when its registration names another

Cause: workers were grouped by the pool that their registrations name at the moment. If an odd writer names another pool for a known worker, with the same ID and start, the owner of that pool polls the worker with its own fencing token, finds the runs of the first pool, doesn't know them and stops them. The first pool's owner is refused by the higher token, takes it for an election and gives up its pool. By the protocol a worker is one life of a machine, and a machine that changes pools gets a new worker ID.

Change: the agent remembers the pool of each registered worker ID. A registration that names another pool names no worker to use: neither owner gets it, runs go on, nothing new starts there, and with its first pool it is used again. If the first pool was the error, the other one counts once it has been read more often and for four heartbeats. IDs that are not registered are forgotten. One line for each change.

What remains: an agent whose first reading has the odd pool believes it until then.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -100,7 +100,7 @@
 		runners: map[string]*runner{}, waves: map[string]fleet.Wave{}, ownerAdded: make(chan struct{}, 1),
 	}
 	a.settings.Store(set)
-	a.registrations = newRegistrations(logger)
+	a.registrations = newRegistrations(logger, set.Bounds.Heartbeat)
 	a.writer = hedge.New(hedge.Params{
 		Commit: a.store.Commit, Grant: a.store.Grant, Renew: a.store.Renew, Clock: clock, Timeout: platform.StoreTimeout,
 		Repeats: metrics.NewRegisteredCounter("store.repeats", a.registry),
--- a/agent/follow.go
+++ b/agent/follow.go
@@ -237,5 +237,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return a.registrations.byPool(items), nil
+	return a.registrations.byPool(items, a.clock.Now()), nil
 }
--- a/agent/registrations.go
+++ b/agent/registrations.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"github.com/phuslu/log"
 
@@ -12,17 +13,37 @@
 
 // registrations decodes the registrations of workers. It is not safe for concurrent use.
 type registrations struct {
-	log       *log.Logger
-	malformed plat.Malformed
+	log *log.Logger
+	// settleTime is how long a registration must name another pool than before until the
+	// worker is taken to be in that one.
+	settleTime time.Duration
+	malformed  plat.Malformed
+	// pools has the pools of the registered workers, by worker ID.
+	pools map[string]*knownPool
 }
 
-func newRegistrations(logger *log.Logger) *registrations {
-	return &registrations{log: logger}
+// knownPool is the pool of a worker.
+type knownPool struct {
+	name     string
+	readings int // of registrations that name the pool
+	// other is the pool that the registration names now, if it is another one: since
+	// otherSince, in otherReadings readings.
+	other         string
+	otherSince    time.Time
+	otherReadings int
+}
+
+// settleBeats is settleTime in heartbeats: a worker that is up writes its registration
+// anew at each, and a registration that is not written for three is removed.
+const settleBeats = 4
+
+func newRegistrations(logger *log.Logger, heartbeat time.Duration) *registrations {
+	return &registrations{log: logger, settleTime: settleBeats * heartbeat, pools: map[string]*knownPool{}}
 }
 
 // byPool returns the workers that a list of registrations names, by pool. A registration
 // that names no worker to use is left out, and logged once for each of its changes.
-func (r *registrations) byPool(items []plat.Item) map[string][]hosts.Worker {
+func (r *registrations) byPool(items []plat.Item, now time.Time) map[string][]hosts.Worker {
 	out := map[string][]hosts.Worker{}
 	present := make(map[string]bool, len(items))
 	for _, it := range items {
@@ -34,10 +55,48 @@
 			}
 			continue
 		}
-		out[w.Pool] = append(out[w.Pool], w)
+		if r.checkPool(&w, now) {
+			out[w.Pool] = append(out[w.Pool], w)
+		}
 	}
 	for _, key := range r.malformed.EndReading() {
 		r.log.Info().Str("key", key).Bool("registered", present[key]).Msg("worker registration is no longer malformed")
 	}
+	for id := range r.pools {
+		if !present[platform.WorkerPrefix+id] {
+			delete(r.pools, id)
+		}
+	}
 	return out
 }
+
+// checkPool reports whether a worker is in the pool that its registration names. A worker
+// stays in one pool for its life, and the owners of two would end each other's runs on it. So
+// a registration with another pool counts only if it has been read more often than the
+// former, and for settleTime: then the former was the error.
+func (r *registrations) checkPool(w *hosts.Worker, now time.Time) bool {
+	k := r.pools[w.ID]
+	if k == nil {
+		k = &knownPool{name: w.Pool}
+		r.pools[w.ID] = k
+	}
+	if w.Pool == k.name {
+		k.readings++
+		if k.other != "" {
+			k.other = ""
+			r.log.Info().Str("host", w.ID).Str("pool", k.name).Int64("rev", w.Rev).Msg("worker registration names the pool of the worker again")
+		}
+		return true
+	}
+	if k.other != w.Pool {
+		k.other, k.otherSince, k.otherReadings = w.Pool, now, 0
+		r.log.Warn().Str("host", w.ID).Str("pool", k.name).Str("named", w.Pool).Int64("rev", w.Rev).Msg("ignoring a worker registration that names another pool")
+	}
+	k.otherReadings++
+	if k.otherReadings <= k.readings || now.Sub(k.otherSince) < r.settleTime {
+		return false
+	}
+	r.log.Warn().Str("host", w.ID).Str("before", k.name).Str("pool", w.Pool).Int64("rev", w.Rev).Msg("worker is in another pool than its first registrations named")
+	*k = knownPool{name: w.Pool, readings: k.otherReadings}
+	return true
+}
