platform, fleet: use the hosts beside an odd one in the list

Cause: the list of hosts was decoded as a whole. One entry with a field of another type made all of it fail, in each round and for ever: no moves, no maintenance. An entry without a name, or with a capacity of -1 or 1e300, was taken for a host; the CPU of the largest host is what the shortage of a pool is measured in. Errors of bodies repeat a number of any length, and a digest that can't be decoded was logged in each round, eight times a second.

One that can't be used is a host of unknown state with its name, so that it is neither moved nor counted, and its tasks and waves wait for it. Both are logged once per change, by plat.Malformed.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -99,6 +100,8 @@
 	leadershipSeen time.Duration
 	// refusedHosts has the hosts that can't join a pool, by pool and host.
 	refusedHosts map[string]map[string]bool
+	// malformed has the entries of hosts and the digests that can't be used.
+	malformed plat.Malformed
 }
 
 // tick is how often the controller reads the fleet and updates its plan.
@@ -219,10 +222,17 @@
 		return fmt.Errorf("reading hosts and digests failed: %w", err)
 	}
 	c.hosts = list
+	for i := range list {
+		if h := &list[i]; h.Fault != "" && c.malformed.Add("host/"+h.Name, h.Fault) {
+			c.Log.Warn().Str("host", h.Name).Str("cause", h.Fault).Msg("entry of a host cannot be used")
+		}
+	}
 	for _, it := range items {
 		var d owner.Digest
 		if err := json.Unmarshal(it.Value, &d); err != nil {
-			c.Log.Error().Str("key", it.Key).Err(err).Msg("pool digest cannot be decoded")
+			if c.malformed.Add(it.Key, strconv.FormatInt(it.Rev, 10)) {
+				c.Log.Error().Str("key", it.Key).Int64("rev", it.Rev).Err(err).Msg("pool digest cannot be decoded")
+			}
 			continue
 		}
 		c.digests[strings.TrimPrefix(it.Key, owner.DigestPrefix)] = d
@@ -230,6 +240,9 @@
 			c.firstJobSeen = c.Clock.Now()
 		}
 	}
+	for _, key := range c.malformed.EndReading() {
+		c.Log.Info().Str("key", key).Msg("entry is no longer malformed")
+	}
 	return nil
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -54,6 +54,8 @@
 	noJobs bool
 	// commit is the controllers' call to write to the store.
 	commit func(ctx context.Context, t plat.Txn) (int64, []plat.Item, error)
+	// logs has the controllers' log; nil for none.
+	logs *lines
 	// suspended is how long the entries' hosts were suspended in all.
 	suspended time.Duration
 }
@@ -221,9 +223,13 @@
 	key := elect.Key(fleet.ElectionName)
 	fence := f.kv.Put(key, []byte(name))
 	v := &policy.Version{Number: 1, Pools: []policy.Pool{{Name: "a"}, {Name: "off", Standby: true}}}
+	var logs io.Writer = io.Discard
+	if f.logs != nil {
+		logs = f.logs
+	}
 	s := fleet.New(fleet.Params{
 		Name: name, ElectionKey: key, Fence: fence, QuietPeriod: q, MinDowntime: down, Clock: quartz.NewReal(), SinceBoot: f.sinceBoot(),
-		Log:    &log.Logger{Writer: log.IOWriter{Writer: io.Discard}},
+		Log:    &log.Logger{Writer: log.IOWriter{Writer: logs}},
 		Policy: func() *policy.Version { return v }, Waves: func() []fleet.Wave { return waves },
 		List: f.kv.List, Commit: func(ctx context.Context, t plat.Txn) (int64, []plat.Item, error) { return f.commit(ctx, t) }, Hosts: f.list,
 		OrderMove:        func(_ context.Context, o hosts.Order) error { return f.carryOut(o, hosts.Moving) },
--- /dev/null
+++ b/fleet/oddentry_test.go
@@ -0,0 +1,62 @@
+package fleet_test
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"shallotpaddle/hosts"
+	"shallotpaddle/owner"
+)
+
+// lines is a log that can be read while it is written.
+type lines struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(b)
+}
+
+func (l *lines) count(part string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Count(l.b.String(), part)
+}
+
+// A digest that can't be decoded was logged in every round. A host whose entry is odd for
+// some seconds must not count as gone, or its wave would be reported as completed.
+func TestOddHostAndDigest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(t)
+		f.maxDown, f.logs = 1, &lines{}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer time.Sleep(5 * time.Second) // lets calls under way end
+		defer cancel()
+		good := f.hosts[1]
+		f.hosts[1] = hosts.Host{Name: good.Name, State: hosts.Unknown, Fault: "odd"}
+		f.kv.Put(owner.DigestKey("off"), []byte(`{"want":1e400}`))
+		go f.runOwner(ctx, 0)
+		f.startController(ctx, "e-1", 0, oneWave(1, "m-0", "m-1"))
+		time.Sleep(10 * time.Second)
+		require.Equal(t, "false", f.waveStatus("1"), "a host is left")
+		require.Equal(t, 1, f.logs.count("entry of a host cannot be used"))
+		require.Equal(t, 1, f.logs.count("pool digest cannot be decoded"))
+		f.mu.Lock()
+		f.hosts[1] = good
+		f.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		require.Equal(t, "true", f.waveStatus("1"))
+		require.Equal(t, 1, f.logs.count("entry is no longer malformed"))
+		require.Empty(t, f.faults)
+	})
+}
--- a/hosts/hosts.go
+++ b/hosts/hosts.go
@@ -49,6 +49,8 @@
 	Moving      State = "moving"
 	Maintenance State = "upkeep"
 	Down        State = "down"
+	// Unknown is the state of a host whose entry in the list can't be used.
+	Unknown State = "unknown"
 )
 
 // Host is a host of the fleet.
@@ -60,6 +62,9 @@
 	Labels   []string
 	Capacity Resources
 	Worker   string // ID of its worker, empty if there is none
+	// Fault is why the entry can't be used; empty if it can. Such a host has no other
+	// fields than Name, which may be empty, and State.
+	Fault string
 }
 
 // Order orders the move of a host to another pool or its maintenance.
