elect: count terms from the revision if their number is odd

Cause: a key of a pool's term that can't be decoded counted as 0 elections, and the largest int64 became a negative term. The next owner's run numbers start from its term: they would have been lower than those that workers have seen, which refuse such starts for ever, and an owner of term 1 takes no care of earlier owners.

Change: a number below 1 or above the key's revision, or none, is replaced by the revision. Each election writes the key, so that there can't have been more.

Evidence: TestOddTermKey failed before for all 11 values (term 1, 0 and -). TestOddElectionKeys passed before: odd keys of entries and leaders don't keep a pool from its leader.

--- a/elect/elect.go
+++ b/elect/elect.go
@@ -310,11 +310,7 @@
 		case strings.HasPrefix(it.Key, leaderPrefix):
 			e.applyLeader(strings.TrimPrefix(it.Key, leaderPrefix), it)
 		case strings.HasPrefix(it.Key, termPrefix) && !it.Deleted:
-			t := termCounter{rev: it.Rev}
-			if err := json.Unmarshal(it.Value, &t.number); err != nil {
-				e.Log.Error().Str("key", it.Key).Err(err).Msg("election term cannot be decoded")
-			}
-			e.terms[strings.TrimPrefix(it.Key, termPrefix)] = t
+			e.terms[strings.TrimPrefix(it.Key, termPrefix)] = termCounter{e.termNumber(it), it.Rev}
 		}
 	}
 	for pool, t := range e.held {
@@ -324,6 +320,18 @@
 	}
 }
 
+// termNumber returns the number of elections in a term's key. If it is not a possible one, it
+// returns the key's revision: each election has written the key, so that there were no more.
+func (e *Elector) termNumber(it plat.Item) int {
+	var n int
+	err := json.Unmarshal(it.Value, &n)
+	if err == nil && n > 0 && int64(n) <= it.Rev {
+		return n
+	}
+	e.Log.Error().Str("key", it.Key).Int64("rev", it.Rev).Int("number", n).Err(err).Msg("election term cannot be decoded")
+	return int(it.Rev)
+}
+
 func (e *Elector) applyLeader(pool string, it plat.Item) {
 	if it.Deleted {
 		delete(e.leaders, pool)
