soak: leave odd entries among those of the workers

With -odd, entries of workers get fields that no worker writes, for 0.2 to 3 s and one after the other, or a copy of them under another ID: born, address, pool, state, times, nesting.

--- a/fakes/site/site.go
+++ b/fakes/site/site.go
@@ -129,7 +129,8 @@
 			continue
 		}
 		s.lastBeat[w.ID] = now
-		s.kv.Put(platform.WorkerPrefix+w.ID, s.encodeWorker(w))
+		b, _ := json.Marshal(s.Registration(w)) // encoding plain values can't fail
+		s.kv.Put(platform.WorkerPrefix+w.ID, b)
 	}
 	for id, at := range s.lastBeat {
 		if now.Sub(at) > silentBeats*Heartbeat {
@@ -145,7 +146,8 @@
 	GPU int `json:"Gpu"`
 }
 
-func (s *Site) encodeWorker(w hosts.Worker) []byte {
+// Registration returns the fields of a worker's entry.
+func (s *Site) Registration(w hosts.Worker) map[string]any {
 	if s.twists.Worker != nil {
 		w = s.twists.Worker(w)
 	}
@@ -153,12 +155,11 @@
 	if w.Draining {
 		state = "draining"
 	}
-	b, _ := json.Marshal(map[string]any{
+	return map[string]any{
 		"Service": w.Pool, "Address": w.Address, "Zone": w.Centre, "State": state, "Sequence": s.sequence,
 		"RemainingMs": w.DrainLeft.Milliseconds(), "Capacity": capacity(w.Capacity), "Labels": w.Labels,
 		"Machine": w.Host, "born": w.StartedMs,
-	})
-	return b
+	}
 }
 
 // Entry is what the settings say of one entry.
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -13,6 +13,7 @@
 	streamFaults = 1
 	streamLoad   = 2
 	streamStore  = 3
+	streamOdd    = 4
 )
 
 // event is a fault of a schedule.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -34,6 +34,8 @@
 	Rate    float64 // jobs handed in per second
 	Program string  // path of the program
 	Dir     string  // for logs, settings and the report
+	// Odd leaves odd entries among those of the workers, beside the other faults.
+	Odd bool
 	// Settle is the longest time from the last fault until all jobs must have ended.
 	Settle time.Duration
 	// plant is a fault that the soak must notice, and at which it ends then.
@@ -372,6 +374,9 @@
 	if events == nil && s.opt.plant.promise == "" {
 		events = schedule(s.opt.Seed, s.opt.For, s.opt.Gap)
 	}
+	if s.opt.Odd {
+		events = withOdd(events, s.opt.Seed, s.opt.For)
+	}
 	for _, e := range events {
 		wait(ctx, time.Until(s.begun.Add(e.At)))
 		if ctx.Err() != nil {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -109,6 +109,17 @@
 	}
 }
 
+// TestOddEntries runs a short soak in which another writer leaves odd entries among those of the
+// workers.
+func TestOddEntries(t *testing.T) {
+	t.Parallel()
+	opt := short(1, 10*time.Second)
+	opt.Odd = true
+	r := runSoak(t, opt)
+	require.Empty(t, r.Violations)
+	require.Positive(t, r.Faults["entry odd"])
+}
+
 // TestHangup checks that an entry survives SIGHUP, also while it stops.
 func TestHangup(t *testing.T) {
 	t.Parallel()
