agent, owner: ask the rosters for the pool of a worker that is new to an entry

A worker that one other pool's roster has is in that pool now, as no run starts before the roster with its worker is stored. The rosters are read when a registration names a worker that the entry has not read before. Without them, the reading counts as failed and is made again.

Evidence: TestFirstReadingNamesAnotherPool fails to build without the change; without rosters (its third line) the registration counts.

--- a/agent/follow.go
+++ b/agent/follow.go
@@ -237,5 +237,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return a.registrations.byPool(items, a.clock.Now()), nil
+	return a.registrations.byPool(items, a.clock.Now(), func() (map[string][]string, error) {
+		rosters, _, err := a.store.List(ctx, owner.RosterPrefix)
+		return owner.RosterPools(rosters), err
+	})
 }
--- a/agent/otherpool_test.go
+++ b/agent/otherpool_test.go
@@ -73,12 +73,21 @@
 
 // reading reads registrations of workers, by ID, and returns the IDs of each pool's.
 func reading(r *registrations, now time.Time, pools map[string]string) map[string][]string {
+	return readingWith(r, now, pools, nil)
+}
+
+// readingWith does the same with the pools that have had the workers.
+func readingWith(r *registrations, now time.Time, pools map[string]string, former map[string][]string) map[string][]string {
 	var items []plat.Item
 	for id, pool := range pools {
 		items = append(items, plat.Item{Key: platform.WorkerPrefix + id, Value: registrationOf(pool, "10.0.0.1:80", "")})
 	}
 	out := map[string][]string{}
-	for pool, list := range r.byPool(items, now) {
+	byPool, err := r.byPool(items, now, func() (map[string][]string, error) { return former, nil })
+	if err != nil {
+		panic(err) // the rosters are always there
+	}
+	for pool, list := range byPool {
 		for i := range list {
 			out[pool] = append(out[pool], list[i].ID)
 		}
@@ -113,6 +122,27 @@
 	require.Equal(t, in("q"), next("q", 1), "another life under the ID")
 }
 
+// ROUTE: an entry that had just been elected read the registration of a worker for the first time
+// as that named another pool, and both owners used the worker.
+func TestFirstReadingNamesAnotherPool(t *testing.T) {
+	now := time.Now()
+	fresh := func() *registrations {
+		return newRegistrations(&log.Logger{Writer: log.IOWriter{Writer: io.Discard}}, beat)
+	}
+	in := func(pool string) map[string][]string { return map[string][]string{pool: {"i-1"}} }
+	odd, right := map[string]string{"i-1": "q"}, map[string]string{"i-1": "p"}
+	r := fresh()
+	require.Empty(t, readingWith(r, now, odd, map[string][]string{"i-1": {"p"}}))
+	require.Equal(t, in("p"), readingWith(r, now, right, nil))
+	require.Equal(t, in("q"), readingWith(fresh(), now, odd, map[string][]string{"i-2": {"p"}}), "a worker that no pool has had")
+	require.Equal(t, in("q"), readingWith(fresh(), now, odd, map[string][]string{"i-1": {"p", "q"}}), "pools that contradict each other")
+	r = fresh()
+	_, err := r.byPool([]plat.Item{{Key: platform.WorkerPrefix + "i-1", Value: registrationOf("q", "10.0.0.1:80", "")}}, now,
+		func() (map[string][]string, error) { return nil, plat.ErrUnknown })
+	require.ErrorIs(t, err, plat.ErrUnknown, "the workers are read again")
+	require.Empty(t, readingWith(r, now, odd, map[string][]string{"i-1": {"p"}}))
+}
+
 // A worker whose pool was wrong when it was first read would not be used again.
 func TestFirstPoolWasWrong(t *testing.T) {
 	r := newRegistrations(&log.Logger{Writer: log.IOWriter{Writer: io.Discard}}, beat)
--- a/agent/registrations.go
+++ b/agent/registrations.go
@@ -43,9 +43,12 @@
 
 // byPool returns the workers that a list of registrations names, by pool. A registration
 // that names no worker to use is left out, and logged once for each of its changes.
-func (r *registrations) byPool(items []plat.Item, now time.Time) map[string][]hosts.Worker {
+// rosters returns the pools that have had a worker, by worker ID; it is called if there is one
+// that has not been read before.
+func (r *registrations) byPool(items []plat.Item, now time.Time, rosters func() (map[string][]string, error)) (map[string][]hosts.Worker, error) {
 	out := map[string][]hosts.Worker{}
 	present := make(map[string]bool, len(items))
+	var former map[string][]string
 	for _, it := range items {
 		present[it.Key] = true
 		w, err := platform.DecodeWorker(it)
@@ -55,7 +58,12 @@
 			}
 			continue
 		}
-		if r.checkPool(&w, now) {
+		if r.pools[w.ID] == nil && former == nil {
+			if former, err = rosters(); err != nil {
+				return nil, err
+			}
+		}
+		if r.checkPool(&w, former[w.ID], now) {
 			out[w.Pool] = append(out[w.Pool], w)
 		}
 	}
@@ -67,17 +75,21 @@
 			delete(r.pools, id)
 		}
 	}
-	return out
+	return out, nil
 }
 
 // checkPool reports whether a worker is in the pool that its registration names. A worker
 // stays in one pool for its life, and the owners of two would end each other's runs on it. So
 // a registration with another pool counts only if it has been read more often than the
-// former, and for settleTime: then the former was the error.
-func (r *registrations) checkPool(w *hosts.Worker, now time.Time) bool {
+// former, and for settleTime: then the former was the error. former has the pools that have had
+// the worker, if it is read for the first time.
+func (r *registrations) checkPool(w *hosts.Worker, former []string, now time.Time) bool {
 	k := r.pools[w.ID]
 	if k == nil {
 		k = &knownPool{name: w.Pool}
+		if len(former) == 1 {
+			k.name = former[0]
+		}
 		r.pools[w.ID] = k
 	}
 	if w.Pool == k.name {
--- a/owner/keys.go
+++ b/owner/keys.go
@@ -24,7 +24,10 @@
 
 func statePrefix(pool string) string { return "state/" + pool + "/" }
 
-func rosterKey(pool string) string { return "pool/" + pool }
+// RosterPrefix is the prefix of the keys of all pools' rosters.
+const RosterPrefix = "pool/"
+
+func rosterKey(pool string) string { return RosterPrefix + pool }
 
 // splitKey returns the job ID in a key under JobPrefix, and whether the key is
 // that of the job's cancellation.
--- a/owner/roster.go
+++ b/owner/roster.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"strings"
 
 	"shallotpaddle/hosts"
+	"shallotpaddle/plat"
 )
 
 // rosterEntry is a worker that may have runs of the pool.
@@ -71,3 +73,19 @@
 	}
 	return nil
 }
+
+// RosterPools returns the pools whose stored rosters have a worker, by worker ID. A roster that
+// can't be read has none; its pool's next owner says so.
+func RosterPools(rosters []plat.Item) map[string][]string {
+	out := map[string][]string{}
+	for _, it := range rosters {
+		var list []rosterEntry
+		if json.Unmarshal(it.Value, &list) != nil {
+			continue
+		}
+		for _, e := range list {
+			out[e.ID] = append(out[e.ID], strings.TrimPrefix(it.Key, RosterPrefix))
+		}
+	}
+	return out
+}
