owner: take no answer without an incarnation for the worker's

What answers at the address of a registration that contradicts its worker was taken for the worker if it reported no error, as calls name the worker's ID. Something that is no worker and answers each call with an object passed for it: the owner called that address from then on, read there that nothing ran, and started the runs again. With another born beside the address, the claim stayed open as well and was asked without a pause. A worker's reports always say which incarnation they are from; an answer that doesn't counts as none now, and the known address is kept.

--- a/owner/claim.go
+++ b/owner/claim.go
@@ -105,12 +105,12 @@
 		o.depose("a worker has heard a higher token")
 	case errors.Is(m.err, runs.ErrIncarnation):
 		o.refute(h, "another worker answers at the address")
-	case m.err != nil:
+	case m.err != nil, born == 0: // a worker says of each report which incarnation it is from
 		c.tries++
 		c.next = now.Add(min(time.Duration(c.tries)*claimRetryDelay, maxClaimRetryDelay))
-	case born != 0 && h.startedMs != 0 && born != h.startedMs:
+	case h.startedMs != 0 && born != h.startedMs:
 		o.takeIncarnation(h, pollResult{host: h, report: m.report, sent: m.sent, address: c.worker.Address})
-	case c.worker.StartedMs != 0 && born != 0 && c.worker.StartedMs != born:
+	case c.worker.StartedMs != 0 && c.worker.StartedMs != born:
 		o.refute(h, "the worker answers as the incarnation that is known")
 	default:
 		o.Log.Info().Str("pool", o.Pool).Str("host", h.id).Str("address", c.worker.Address).Msg("worker answers at its registered address")
