owner: acknowledge the ends of an incarnation from its first number

A poll that acknowledges ends can be answered by the next incarnation of the worker, which numbers its ends anew. The owner carried the number over: the ends of that incarnation were listed and read, but not acknowledged until there were more of them than the earlier one had. It takes a restart between two polls of a worker that has answered the last one, so that it is rare.

Before, TestEndsOfIncarnationThatAnswersAreAcknowledged failed: the worker is not due for a poll although its end 1 is to be acknowledged.

--- a/owner/claim.go
+++ b/owner/claim.go
@@ -156,6 +156,7 @@
 		delete(o.hosts, h.id)
 	}
 	o.updateWorker(w, now)
+	m.acked = 0 // it numbers its ends anew
 	if m.host = o.hosts[w.ID]; m.host != nil {
 		o.handlePoll(m)
 	}
