agent: follow changes of a maintenance wave

An entry kept the first content of a wave that it had read. If the operator lowered MaxCount or changed the hosts of a wave under way, the fleet controller went on by the first content, and an entry that was started later by the second. The latest revision counts now, within the time of the first.

Before, TestChangedWaveCounts failed: MaxDown 2 instead of 1 after the change.

--- a/agent/follow.go
+++ b/agent/follow.go
@@ -151,9 +151,14 @@
 		a.log.Error().Err(err).Msg("maintenance wave cannot be decoded")
 		return
 	}
-	if _, known := a.waves[it.Key]; !known {
+	old, known := a.waves[it.Key]
+	switch {
+	case !known:
 		a.waves[it.Key] = fleet.Wave{Wave: w, FirstSeen: a.clock.Now()}
 		a.log.Info().Str("wave", w.Number).Int("hosts", len(w.Hosts)).Int("most", w.MaxDown).Dur("within", w.Within).Msg("maintenance wave requested")
+	case w.Rev > old.Rev:
+		a.waves[it.Key] = fleet.Wave{Wave: w, FirstSeen: old.FirstSeen}
+		a.log.Info().Str("wave", w.Number).Int("hosts", len(w.Hosts)).Int("most", w.MaxDown).Dur("within", w.Within).Msg("maintenance wave changed")
 	}
 }
 
