fleet: keep a host that one reading of the list lacks

The fleet controller took a host that the list of hosts lacked once for gone. A host is kept now in an unknown state, in which it is neither moved nor counted and its tasks wait, until it has been missing for the time of a maintenance. A host that is gone for good holds its place in a wave for that time. A controller that has just been elected has no earlier reading to go by.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -76,7 +76,9 @@
 	planChanged bool
 	statusPuts  []plat.Put // wave reports to be written with the plan
 
-	hosts      []hosts.Host
+	hosts []hosts.Host
+	// listedAt has the time at which a reading of the list last had a host, by host.
+	listedAt   map[string]time.Time
 	digests    map[string]owner.Digest
 	acceptedAt map[int64]time.Time // when an order was accepted, by task
 	// reportedWaves has the waves that were reported as started, by number.
@@ -112,7 +114,7 @@
 // New returns a fleet controller; Run starts it.
 func New(p Params) *Controller {
 	return &Controller{
-		Params: p, digests: map[string]owner.Digest{}, acceptedAt: map[int64]time.Time{},
+		Params: p, listedAt: map[string]time.Time{}, digests: map[string]owner.Digest{}, acceptedAt: map[int64]time.Time{},
 		reportedWaves: map[string]bool{}, surplusHistory: map[string]*shift.SurplusHistory{}, refusedHosts: map[string]map[string]bool{},
 		mostHosts: map[string]int{}, orderedBefore: map[string]bool{}, recentUntil: map[string]time.Time{}, endedAt: map[string]time.Time{},
 	}
@@ -218,7 +220,7 @@
 	if err := g.Wait(); err != nil {
 		return fmt.Errorf("reading hosts and digests failed: %w", err)
 	}
-	c.hosts = list
+	c.hosts = c.keepMissing(list, c.Clock.Now())
 	for _, it := range items {
 		var d owner.Digest
 		if err := json.Unmarshal(it.Value, &d); err != nil {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -42,6 +42,7 @@
 	workersStarted int
 	fenceByHost    map[string]int64
 	maintained     map[string]bool // maintained, by host and wave
+	hidden         string          // the name of a host that the list lacks
 	received       []receivedOrder
 	faults         []string
 	// loseAnswers is the number of next orders that are carried out but not answered.
@@ -105,7 +106,7 @@
 func (f *fakeFleet) list(context.Context) ([]hosts.Host, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return slices.Clone(f.hosts), nil
+	return slices.DeleteFunc(slices.Clone(f.hosts), func(h hosts.Host) bool { return h.Name == f.hidden }), nil
 }
 
 func (f *fakeFleet) readPlan() fleet.Plan {
