--- a/agent/wave_test.go
+++ b/agent/wave_test.go
@@ -12,7 +12,9 @@
 // time of the first.
 func TestChangedWaveCounts(t *testing.T) {
 	r := newTestAgent(t)
-	put := func(rev int64, value string) { r.applyWave(plat.Item{Key: "op/wave/7", Rev: rev, Value: []byte(value)}) }
+	put := func(rev int64, value string) {
+		r.applyWave(plat.Item{Key: "op/wave/7", Rev: rev, Value: []byte(value)})
+	}
 	put(1, `{"Wave":7,"Machines":["m1","m2"],"DurationS":60,"MaxCount":2}`)
 	first := r.requestedWaves()[0].FirstSeen
 	put(2, `{"Wave":7,"Machines":["m1","m2","m3"],"DurationS":60,"MaxCount":1}`)
