owner: repeat calls to a registered address sooner

A worker that has restarted must answer at its registered address now before its subtasks run again. That call was made alone, and again after its time-out and a pause of 0.1 s and more. The call is made in several copies now, as polls are while the worker loses calls, and the first ones without an answer are repeated at once.

--- a/owner/claim.go
+++ b/owner/claim.go
@@ -32,7 +32,7 @@
 
 const (
 	// claimRetryDelay is the pause after a call without an answer to the address of a claim,
-	// for each such call, up to maxClaimRetryDelay.
+	// for each such call, up to maxClaimRetryDelay; the first ones are repeated at once.
 	claimRetryDelay    = 100 * time.Millisecond
 	maxClaimRetryDelay = time.Second
 )
@@ -82,11 +82,17 @@
 		return
 	}
 	c.asking = true
-	to, within := runs.Target{ID: h.id, Address: c.worker.Address}, answerTimeout(c.tries+1)
+	to, delay := runs.Target{ID: h.id, Address: c.worker.Address}, time.Duration(0)
+	if h.losesCalls(now) && c.tries <= maxCopiedFailures {
+		delay = max(minCopyDelay, copyDelayFactor*h.answerTime)
+	}
+	within := tryTimeout(c.tries+1, delay)
 	go func() {
 		ctx, cancel := context.WithTimeout(o.ctx, within)
 		defer cancel()
-		r, err := o.Workers.Renew(ctx, to, runs.Renew{Fence: o.Fence})
+		r, _, err := callWorker(ctx, o.Clock, 0, delay, func(ctx context.Context, _ int) (runs.Report, error) {
+			return o.Workers.Renew(ctx, to, runs.Renew{Fence: o.Fence})
+		})
 		o.post(claimAnswer{h, c, r, now, err})
 	}()
 }
@@ -107,7 +113,7 @@
 		o.refute(h, "another worker answers at the address")
 	case m.err != nil, born == 0: // a worker says of each report which incarnation it is from
 		c.tries++
-		c.next = now.Add(min(time.Duration(c.tries)*claimRetryDelay, maxClaimRetryDelay))
+		c.next = now.Add(retryDelay(c.tries, min(time.Duration(c.tries)*claimRetryDelay, maxClaimRetryDelay)))
 	case h.startedMs != 0 && born != h.startedMs:
 		o.takeIncarnation(h, pollResult{host: h, report: m.report, sent: m.sent, address: c.worker.Address})
 	case c.worker.StartedMs != 0 && c.worker.StartedMs != born:
