owner: count on a registration only once its worker has answered

Callers saw work accepted before a change of owner wait 4.2 s beside one such entry, also at the pool's first election. The cause of all that follows: an owner counted a registration like a worker that it has heard.

- A takeover waited for it for the longest lease, and announced all waiting subtasks as if a worker had been lost.
An earlier owner has started nothing on a worker before the roster with it was stored, and none of its writes is carried out after the election: only workers of the roster that was found are waited for, all if it can't be decoded.
One that is only registered is given the quick tries of a poll: a late order of an earlier owner may reach the next incarnation of a worker that had left the roster.
Their ends still count as unread.
- It was stored in the roster, so that the next owner waited as well.
A worker enters the roster, and the digest, with its first answer.
- An entry with the address of another worker was added and removed with each reading of the list, with a write of the roster and one of the digest.
- Its capacity was the pool's largest for the owner's life: one of 1e9 made the pool ask for one host for all long-running subtasks.
- Until the list was read, a new owner asked for no host at all for long-running subtasks.
It keeps what its predecessor asked for.

The price: the roster is written after the first answer of a new worker and not beside it, some milliseconds.

--- a/owner/crash.go
+++ b/owner/crash.go
@@ -69,7 +69,7 @@
 // missing: it may have started what waits now on one of them, and been lost before it
 // stored the crash. This is stored before the roster is without the workers.
 func (o *Owner) recordLosses(now time.Time) {
-	if len(o.missing) == 0 && o.unansweredHosts() == 0 {
+	if len(o.missing) == 0 && o.lostHosts() == 0 {
 		return
 	}
 	changed := 0
--- a/owner/digest.go
+++ b/owner/digest.go
@@ -44,6 +44,7 @@
 func (o *Owner) encodeDigest() []byte {
 	d := Digest{Waiting: map[string]int{}, Hosts: map[string]HostLoad{}, HadJobs: o.hadJobs, Released: map[string]int64{}}
 	now := o.Clock.Now()
+	o.updateLargest(now)
 	open := make([]shift.OpenJob, 0, len(o.openJobs))
 	for _, j := range o.openJobs {
 		if !j.progress.Started && j.progress.Job.Repetitions == 0 {
@@ -55,7 +56,9 @@
 	d.MinWorkers = o.minWorkers()
 	d.DemandCPU = shift.DemandCPU(open, o.arrivingCPU(now))
 	for _, h := range o.hosts {
-		d.Hosts[h.id] = HostLoad{roundUpCPU(h.used.CPU), h.countLongRunning()}
+		if o.inRoster(h) {
+			d.Hosts[h.id] = HostLoad{roundUpCPU(h.used.CPU), h.countLongRunning()}
+		}
 		if h.releaseTask != 0 && o.isEmpty(h) {
 			d.Released[h.id] = h.releaseTask
 		}
@@ -103,7 +106,7 @@
 	if s.Fills {
 		need.CPU = 0
 	}
-	return shift.ShareCPU(need, o.largest)
+	return shift.ShareCPU(need, o.largest.Resources)
 }
 
 // minWorkers returns the number of workers that the long-running subtasks need.
@@ -118,6 +121,9 @@
 			}
 		}
 	}
+	if o.largest.CPU == 0 {
+		return o.former.digest.MinWorkers // no worker has answered yet
+	}
 	return shift.MinHosts(list, o.largest.CPU)
 }
 
--- a/owner/host.go
+++ b/owner/host.go
@@ -22,7 +22,9 @@
 	rosterVersion int
 	// answered is true once this incarnation has answered a poll, and so has seen the
 	// owner's fencing token.
-	answered  bool
+	answered bool
+	// inherited tells that an earlier owner has stored the worker in the roster.
+	inherited bool
 	startedMs int64
 	// clock is the worker's clock, in milliseconds, as read at clockAt or earlier.
 	clock   int64
@@ -171,7 +173,9 @@
 	present := make(map[string]bool, len(list))
 	for _, w := range list {
 		present[w.ID] = true
-		o.updateWorker(w, now)
+		if !o.wasRefused(&w, now) {
+			o.updateWorker(w, now)
+		}
 	}
 	for _, h := range o.hosts {
 		if h.listed && !present[h.id] {
@@ -199,8 +203,6 @@
 		h.releaseTask = o.fleetPlan.Release[w.ID]
 		o.inheritLateOrders(h)
 		o.hosts[w.ID] = h
-		o.markChanged(o.roster)
-		h.rosterVersion = o.roster.version
 		o.Log.Info().Str("pool", o.Pool).Str("host", w.ID).Str("address", w.Address).Int64("born", w.StartedMs).
 			Int("cpu", w.Capacity.CPU).Int64("rev", w.Rev).Msg("worker registered")
 	}
@@ -212,7 +214,6 @@
 		o.passNeeded = true
 	}
 	h.worker, h.listed = w, true
-	o.largest = hosts.Resources{CPU: max(o.largest.CPU, w.Capacity.CPU), Mem: max(o.largest.Mem, w.Capacity.Mem), GPU: max(o.largest.GPU, w.Capacity.GPU)}
 	if h.startedMs == 0 {
 		h.startedMs = w.StartedMs
 	}
@@ -231,9 +232,12 @@
 
 // loseIncarnation removes a worker that has crashed, or was given up.
 func (o *Owner) loseIncarnation(h *host, why string) {
-	if !h.answered && !o.takeoverDone {
+	if h.inherited && !h.answered && !o.takeoverDone {
 		o.missing = append(o.missing, h.rosterEntry())
 	}
+	if h.listed && !o.inRoster(h) {
+		o.noteRefused(h, o.Clock.Now())
+	}
 	o.recordCrash(h, o.Clock.Now())
 	o.endIncarnation(h, why)
 }
@@ -258,7 +262,9 @@
 	}
 	delete(o.hosts, h.id)
 	o.blockUnansweredStarts(h)
-	o.markChanged(o.roster)
+	if o.inRoster(h) {
+		o.markChanged(o.roster)
+	}
 	o.passNeeded = true
 }
 
@@ -332,13 +338,10 @@
 // of such runs.
 func (o *Owner) earlierRunsKnown(now time.Time) bool {
 	for _, h := range o.hosts {
-		if h.answered {
-			continue
-		}
-		if !h.leaseExpired(now, o.pollsSince) {
+		if o.awaitedAtTakeover(h, now) {
 			return false
 		}
-		o.endsUnread = true
+		o.endsUnread = o.endsUnread || !h.answered
 	}
 	return true
 }
--- a/owner/modelodd_test.go
+++ b/owner/modelodd_test.go
@@ -44,6 +44,10 @@
 		list[i].Address = list[(i+1)%len(list)].Address
 		return list
 	},
+	"born ahead, address of another worker": func(list []hosts.Worker, i int) []hosts.Worker {
+		list[i].StartedMs, list[i].Address = list[i].StartedMs+time.Hour.Milliseconds(), list[(i+1)%len(list)].Address
+		return list
+	},
 	"address of nobody": func(list []hosts.Worker, i int) []hosts.Worker {
 		list[i].Address = nobody
 		return list
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -126,8 +126,9 @@
 	missing   []rosterEntry
 	fleetPlan PoolPlan
 	hadJobs   bool // the pool has had jobs that end by themselves
-	// largest has the largest capacity of a worker so far, for each resource.
-	largest hosts.Resources
+	largest   largestCapacity
+	former    formerRecords
+	refusals  map[string]*refusal // by worker ID
 	// demand is the CPU that running, waiting and expected work needs, and
 	// publishedDemand the one in the last digest, both in thousandths of a core.
 	demand, publishedDemand int
@@ -173,7 +174,7 @@
 func New(p Params) *Owner {
 	o := &Owner{
 		Params: p, inbox: make(chan any, inboxSize), done: make(chan struct{}), hosts: map[string]*host{}, jobs: map[string]*job{},
-		cancelRequests: map[string]struct{}{}, forecasts: map[string]*pack.Forecast{}, inflows: map[string]*shift.Inflow{}, unanswered: map[string][]*unansweredStart{}, lateOrders: map[string][]*lateOrders{}, trialHosts: map[*steps.Task]*host{}, strays: map[*steps.Task]int{},
+		cancelRequests: map[string]struct{}{}, forecasts: map[string]*pack.Forecast{}, inflows: map[string]*shift.Inflow{}, unanswered: map[string][]*unansweredStart{}, lateOrders: map[string][]*lateOrders{}, trialHosts: map[*steps.Task]*host{}, strays: map[*steps.Task]int{}, refusals: map[string]*refusal{},
 	}
 	o.roster = &doc{key: rosterKey(p.Pool), encode: o.encodeRoster}
 	o.digest = &doc{key: DigestKey(p.Pool), encode: o.encodeDigest}
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -169,6 +169,7 @@
 	}
 	if !h.answered {
 		h.answered = true
+		o.enterRoster(h)
 		o.passNeeded = true
 		h.leaseUntil = max(h.leaseUntil, m.report.ClockMs+o.inheritedLease(h, now).Milliseconds())
 	}
--- a/owner/pool_test.go
+++ b/owner/pool_test.go
@@ -45,7 +45,8 @@
 	commit func(ctx context.Context, t plat.Txn) (int64, []plat.Item, error)
 	start  func(ctx context.Context, to runs.Target, s runs.Start) (runs.Reply, error)
 	renew  func(ctx context.Context, to runs.Target, n runs.Renew) (runs.Report, error)
-	// list returns the registered workers as owners read them. Tests replace it.
+	// list returns the registered workers as owners read them. Tests replace it, under mu once
+	// entries have started.
 	list func() []hosts.Worker
 
 	mu          sync.Mutex
@@ -264,7 +265,10 @@
 	}()
 	go func() {
 		for run.Err() == nil {
-			o.SetWorkers(pool.list())
+			pool.mu.Lock()
+			list := pool.list
+			pool.mu.Unlock()
+			o.SetWorkers(list())
 			select {
 			case <-time.After(700 * time.Millisecond):
 			case <-run.Done():
--- a/owner/roster.go
+++ b/owner/roster.go
@@ -15,12 +15,20 @@
 	StartedMs int64  `json:"born,omitempty"`
 }
 
+// formerRecords is what an earlier owner has stored besides the jobs.
+type formerRecords struct {
+	digest Digest
+	// rosterUnread tells that the roster could not be decoded: any worker may have runs of an
+	// earlier owner.
+	rosterUnread bool
+}
+
 func (h *host) rosterEntry() rosterEntry { return rosterEntry{h.id, h.worker.Address, h.startedMs} }
 
 func (o *Owner) encodeRoster() []byte {
 	list := append(make([]rosterEntry, 0, len(o.hosts)), o.missing...)
 	for _, h := range o.hosts {
-		if !slices.ContainsFunc(o.missing, func(e rosterEntry) bool { return e.ID == h.id }) {
+		if o.inRoster(h) && !slices.ContainsFunc(o.missing, func(e rosterEntry) bool { return e.ID == h.id }) {
 			list = append(list, h.rosterEntry())
 		}
 	}
@@ -52,10 +60,13 @@
 		var list []rosterEntry
 		if err := json.Unmarshal(it.Value, &list); err != nil {
 			o.Log.Error().Str("pool", o.Pool).Err(err).Msg("stored list of workers is not readable")
+			o.former.rosterUnread = true
 			continue
 		}
 		for _, e := range list {
-			o.hosts[e.ID] = newHost(hosts.Worker{ID: e.ID, Pool: o.Pool, Address: e.Address, StartedMs: e.StartedMs})
+			h := newHost(hosts.Worker{ID: e.ID, Pool: o.Pool, Address: e.Address, StartedMs: e.StartedMs})
+			h.inherited = true
+			o.hosts[e.ID] = h
 		}
 	}
 	items, _, err = o.Store.List(ctx, o.digest.key)
@@ -65,6 +76,9 @@
 	for _, it := range items {
 		if it.Key == o.digest.key {
 			o.digest.rev = it.Rev
+			if err := json.Unmarshal(it.Value, &o.former.digest); err != nil {
+				o.Log.Error().Str("pool", o.Pool).Err(err).Msg("stored digest is not readable")
+			}
 		}
 	}
 	return nil
