agent, owner: keep a worker whose registration can't be used

Cause: a registration that can't be decoded, or that names another pool, was left out of the list, so that the worker counted as one that had left. An idle one was dropped from the roster; as the registration named another pool at a change of owner, nothing spoke for the first pool any more, and the owners of both used the worker. The owner is told now which of its workers are registered by entries that can't be used: they get no starts, as they may be draining, and are kept.

--- a/agent/follow.go
+++ b/agent/follow.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"shallotpaddle/fleet"
-	"shallotpaddle/hosts"
 	"shallotpaddle/owner"
 	"shallotpaddle/plat"
 	"shallotpaddle/platform"
@@ -228,19 +227,19 @@
 	if a.ownerCount() == 0 {
 		return
 	}
-	byPool, err := a.listWorkers(ctx)
+	list, err := a.listWorkers(ctx)
 	if err != nil {
 		a.log.Warn().Err(err).Msg("reading the registered workers failed")
 		return
 	}
-	a.eachOwner(func(pool string, o *owner.Owner) { o.SetWorkers(byPool[pool]) })
+	a.eachOwner(func(pool string, o *owner.Owner) { o.SetWorkers(list.workers[pool], list.unreadable[pool]) })
 }
 
 // listWorkers returns the registered workers by pool.
-func (a *Agent) listWorkers(ctx context.Context) (map[string][]hosts.Worker, error) {
+func (a *Agent) listWorkers(ctx context.Context) (workerList, error) {
 	items, _, err := a.store.List(ctx, platform.WorkerPrefix)
 	if err != nil {
-		return nil, err
+		return workerList{}, err
 	}
 	return a.registrations.byPool(items, a.clock.Now(), func() (map[string][]string, error) {
 		rosters, _, err := a.store.List(ctx, owner.RosterPrefix)
--- a/agent/oddentry_test.go
+++ b/agent/oddentry_test.go
@@ -111,19 +111,19 @@
 	for name, v := range odd {
 		for _, at := range []int{0, 1, 250, 499, 500, 999, 1000, n - 1} {
 			r.kv.Put(key(at), v)
-			byPool, err := r.listWorkers(t.Context())
+			list, err := r.listWorkers(t.Context())
 			require.NoError(t, err, name)
-			require.Len(t, byPool["p"], n-1, "%s at %d", name, at)
+			require.Len(t, list.workers["p"], n-1, "%s at %d", name, at)
 			next := (at + 1) % n
 			r.kv.Put(key(next), registrationOf("p", "10.0.0.2:80", ""))
-			byPool, err = r.listWorkers(t.Context())
+			list, err = r.listWorkers(t.Context())
 			require.NoError(t, err, name)
-			require.Contains(t, addresses(byPool["p"]), "10.0.0.2:80", "%s at %d: the others are followed", name, at)
+			require.Contains(t, addresses(list.workers["p"]), "10.0.0.2:80", "%s at %d: the others are followed", name, at)
 			r.kv.Put(key(at), goodRegistration)
 			r.kv.Put(key(next), goodRegistration)
-			byPool, err = r.listWorkers(t.Context())
+			list, err = r.listWorkers(t.Context())
 			require.NoError(t, err, name)
-			require.Len(t, byPool["p"], n, "%s at %d: it is used again", name, at)
+			require.Len(t, list.workers["p"], n, "%s at %d: it is used again", name, at)
 		}
 	}
 }
--- a/agent/otherpool_test.go
+++ b/agent/otherpool_test.go
@@ -83,11 +83,11 @@
 		items = append(items, plat.Item{Key: platform.WorkerPrefix + id, Value: registrationOf(pool, "10.0.0.1:80", "")})
 	}
 	out := map[string][]string{}
-	byPool, err := r.byPool(items, now, func() (map[string][]string, error) { return former, nil })
+	read, err := r.byPool(items, now, func() (map[string][]string, error) { return former, nil })
 	if err != nil {
 		panic(err) // the rosters are always there
 	}
-	for pool, list := range byPool {
+	for pool, list := range read.workers {
 		for i := range list {
 			out[pool] = append(out[pool], list[i].ID)
 		}
@@ -122,6 +122,18 @@
 	require.Equal(t, in("q"), next("q", 1), "another life under the ID")
 }
 
+// ROUTE: a worker whose registration could not be used counted as gone.
+func TestUnusableRegistrationKeepsWorker(t *testing.T) {
+	r, now := newRegistrations(&log.Logger{Writer: log.IOWriter{Writer: io.Discard}}, beat), time.Now()
+	reading(r, now, map[string]string{"i-1": "p"})
+	for name, value := range map[string][]byte{"another pool": registrationOf("q", "10.0.0.1:80", ""), "malformed": []byte("{")} {
+		read, err := r.byPool([]plat.Item{{Key: platform.WorkerPrefix + "i-1", Value: value}}, now, nil)
+		require.NoError(t, err)
+		require.Empty(t, read.workers, name)
+		require.Equal(t, map[string][]string{"p": {"i-1"}}, read.unreadable, name)
+	}
+}
+
 // ROUTE: an entry that had just been elected read the registration of a worker for the first time
 // as that named another pool, and both owners used the worker.
 func TestFirstReadingNamesAnotherPool(t *testing.T) {
--- a/agent/registrations.go
+++ b/agent/registrations.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/phuslu/log"
@@ -41,12 +42,19 @@
 	return &registrations{log: logger, settleTime: settleBeats * heartbeat, pools: map[string]*knownPool{}}
 }
 
-// byPool returns the workers that a list of registrations names, by pool. A registration
+// workerList has the registered workers, and the IDs of those whose registrations can't be used
+// now, by pool.
+type workerList struct {
+	workers    map[string][]hosts.Worker
+	unreadable map[string][]string
+}
+
+// byPool returns the workers that a list of registrations names. A registration
 // that names no worker to use is left out, and logged once for each of its changes.
 // rosters returns the pools that have had a worker, by worker ID; it is called if there is one
 // that has not been read before.
-func (r *registrations) byPool(items []plat.Item, now time.Time, rosters func() (map[string][]string, error)) (map[string][]hosts.Worker, error) {
-	out := map[string][]hosts.Worker{}
+func (r *registrations) byPool(items []plat.Item, now time.Time, rosters func() (map[string][]string, error)) (workerList, error) {
+	out := workerList{map[string][]hosts.Worker{}, map[string][]string{}}
 	present := make(map[string]bool, len(items))
 	var former map[string][]string
 	for _, it := range items {
@@ -56,15 +64,18 @@
 			if r.malformed.Add(it.Key, strconv.FormatInt(it.Rev, 10)) {
 				r.log.Warn().Str("key", it.Key).Int64("rev", it.Rev).Err(err).Msg("worker registration cannot be decoded")
 			}
+			out.addUnreadable(r.pools, strings.TrimPrefix(it.Key, platform.WorkerPrefix))
 			continue
 		}
 		if r.pools[w.ID] == nil && former == nil {
 			if former, err = rosters(); err != nil {
-				return nil, err
+				return workerList{}, err
 			}
 		}
 		if r.checkPool(&w, former[w.ID], now) {
-			out[w.Pool] = append(out[w.Pool], w)
+			out.workers[w.Pool] = append(out.workers[w.Pool], w)
+		} else {
+			out.addUnreadable(r.pools, w.ID)
 		}
 	}
 	for _, key := range r.malformed.EndReading() {
@@ -78,6 +89,13 @@
 	return out, nil
 }
 
+// addUnreadable adds a worker of a known pool whose registration can't be used.
+func (l *workerList) addUnreadable(pools map[string]*knownPool, id string) {
+	if k := pools[id]; k != nil {
+		l.unreadable[k.name] = append(l.unreadable[k.name], id)
+	}
+}
+
 // checkPool reports whether a worker is in the pool that its registration names. A worker
 // stays in one pool for its life, and the owners of two would end each other's runs on it. So
 // a registration with another pool counts only if it has been read more often than the
--- a/owner/capacity_test.go
+++ b/owner/capacity_test.go
@@ -14,7 +14,7 @@
 func TestLargestCapacityIsOneThatAnswers(t *testing.T) {
 	r := newRig(t)
 	register := func(id string, cpu int, answers bool) {
-		r.updateWorkers([]hosts.Worker{{ID: id, Capacity: hosts.Resources{CPU: cpu, Mem: cpu}}})
+		r.updateWorkers([]hosts.Worker{{ID: id, Capacity: hosts.Resources{CPU: cpu, Mem: cpu}}}, nil)
 		r.hosts[id].answered = answers
 		r.encodeDigest()
 	}
--- a/owner/claimanswer_test.go
+++ b/owner/claimanswer_test.go
@@ -49,7 +49,7 @@
 			answers(r, c, next, nil)
 		}, known, "a", true},
 		"the worker is not listed meanwhile": {registered(next, "b"), func(r *rig, _ *host, c *claim) {
-			r.updateWorkers(nil)
+			r.updateWorkers(nil, nil)
 			answers(r, c, next, nil)
 		}, known, "a", false},
 		"the claim is withdrawn meanwhile": {registered(next, "b"), func(r *rig, _ *host, c *claim) {
--- a/owner/host.go
+++ b/owner/host.go
@@ -28,6 +28,8 @@
 	startedMs int64
 	// claim is the worker's registration if that contradicts the worker, else nil.
 	claim *claim
+	// unreadable tells that the worker is registered, and its registration can't be used.
+	unreadable bool
 	// clock is the worker's clock, in milliseconds, as read at clockAt or earlier.
 	clock   int64
 	clockAt time.Time
@@ -156,7 +158,7 @@
 // usable reports whether the worker may get new work. storedRoster is the version
 // of the roster that is stored.
 func (h *host) usable(now time.Time, storedRoster int) bool {
-	return h.listed && h.answered && h.failingSince.IsZero() && h.claim == nil && !h.worker.Draining && h.releaseTask == 0 && h.withheld < maxWithheld && h.rosterVersion <= storedRoster && !now.Before(h.noRoomUntil)
+	return h.listed && h.answered && h.failingSince.IsZero() && h.claim == nil && !h.unreadable && !h.worker.Draining && h.releaseTask == 0 && h.withheld < maxWithheld && h.rosterVersion <= storedRoster && !now.Before(h.noRoomUntil)
 }
 
 // leaseLength returns the length of the leases that the owner gives.
@@ -168,11 +170,18 @@
 	return min(time.Duration(float64(o.Bounds.MaxLease)*leaseFraction), longest)
 }
 
-// updateWorkers applies the list of registered workers.
-func (o *Owner) updateWorkers(list []hosts.Worker) {
+// updateWorkers applies the list of registered workers. One whose registration can't be used
+// gets no starts, and is kept.
+func (o *Owner) updateWorkers(list []hosts.Worker, unreadable []string) {
 	now := o.Clock.Now()
 	o.workersKnown = true
-	present := make(map[string]bool, len(list))
+	present := make(map[string]bool, len(list)+len(unreadable))
+	for _, id := range unreadable {
+		present[id] = true
+	}
+	for _, h := range o.hosts {
+		h.unreadable = present[h.id]
+	}
 	for _, w := range list {
 		present[w.ID] = true
 		if !o.wasRefused(&w, now) {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -183,14 +183,20 @@
 
 // Messages to the loop.
 type (
-	workersListed struct{ workers []hosts.Worker }
-	itemsWritten  struct{ items []plat.Item }
+	workersListed struct {
+		workers    []hosts.Worker
+		unreadable []string
+	}
+	itemsWritten struct{ items []plat.Item }
 
 	planChanged struct{ plan PoolPlan }
 )
 
-// SetWorkers tells the owner which workers are registered in its pool.
-func (o *Owner) SetWorkers(w []hosts.Worker) { o.post(workersListed{w}) }
+// SetWorkers tells the owner which workers are registered in its pool, and the IDs of those that
+// were, and whose registrations can't be used now.
+func (o *Owner) SetWorkers(w []hosts.Worker, unreadable []string) {
+	o.post(workersListed{w, unreadable})
+}
 
 // PoolPlan is the part of the fleet plan that concerns one pool.
 type PoolPlan struct {
@@ -289,7 +295,7 @@
 func (o *Owner) handle(m any) {
 	switch m := m.(type) {
 	case workersListed:
-		o.updateWorkers(m.workers)
+		o.updateWorkers(m.workers, m.unreadable)
 	case itemsWritten:
 		for _, it := range m.items {
 			o.handleItem(it, true)
--- a/owner/pool_test.go
+++ b/owner/pool_test.go
@@ -268,7 +268,7 @@
 			pool.mu.Lock()
 			list := pool.list
 			pool.mu.Unlock()
-			o.SetWorkers(list())
+			o.SetWorkers(list(), nil)
 			select {
 			case <-time.After(700 * time.Millisecond):
 			case <-run.Done():
