owner: read the rest of a stored list with an odd entry

Only owners write these documents; the readers are checked as those of others' entries.

Cause: the stored list of workers was decoded as a whole: one entry of another type made a new owner forget all workers that are not registered, without taking care of their runs. A job stored under the key of another one was added under the ID in the document, in place of the job of that ID.

Change: the list is decoded entry by entry; if one can't be read, earlier runs are voided as after a worker that never answered. A job must have the ID of its key.

--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -132,6 +132,9 @@
 	if err == nil {
 		err = doc.Check()
 	}
+	if err == nil && doc.ID != id {
+		err = errID
+	}
 	if err != nil {
 		o.Log.Error().Str("job", id).Err(err).Msg("stored job is not readable")
 		return
--- a/owner/roster.go
+++ b/owner/roster.go
@@ -1,8 +1,10 @@
 package owner
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"slices"
 
 	"shallotpaddle/hosts"
@@ -37,6 +39,29 @@
 	return b
 }
 
+// decodeRoster returns the entries of a stored roster that can be read. If one can't, the
+// ends of runs on its worker may be unread.
+func (o *Owner) decodeRoster(value []byte) []rosterEntry {
+	var raw []json.RawMessage
+	err := json.Unmarshal(value, &raw)
+	list := make([]rosterEntry, 0, len(raw))
+	for _, b := range raw {
+		var e rosterEntry
+		if fault := json.Unmarshal(b, &e); fault != nil || e.ID == "" {
+			err = cmp.Or(fault, errID)
+			continue
+		}
+		list = append(list, e)
+	}
+	if err != nil {
+		o.endsUnread = true
+		o.Log.Error().Str("pool", o.Pool).Err(err).Msg("stored list of workers is not readable")
+	}
+	return list
+}
+
+var errID = errors.New("ID is missing, or is not that of the key")
+
 // readRoster reads the workers that an earlier owner used, which may run its
 // subtasks even if they are no longer registered, and the digest's revision.
 func (o *Owner) readRoster(ctx context.Context) error {
@@ -49,12 +74,7 @@
 			continue
 		}
 		o.roster.rev = it.Rev
-		var list []rosterEntry
-		if err := json.Unmarshal(it.Value, &list); err != nil {
-			o.Log.Error().Str("pool", o.Pool).Err(err).Msg("stored list of workers is not readable")
-			continue
-		}
-		for _, e := range list {
+		for _, e := range o.decodeRoster(it.Value) {
 			o.hosts[e.ID] = newHost(hosts.Worker{ID: e.ID, Pool: o.Pool, Address: e.Address, StartedMs: e.StartedMs})
 		}
 	}
