agent, fleet: log a malformed entry once for each reason

What callers saw: nothing. A worker's registration gets a new one at each heartbeat, so that a field that stays odd was logged at each reading all the same.

--- a/agent/registrations.go
+++ b/agent/registrations.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"strconv"
 	"time"
 
 	"github.com/phuslu/log"
@@ -42,7 +41,7 @@
 }
 
 // byPool returns the workers that a list of registrations names, by pool. A registration
-// that names no worker to use is left out, and logged once for each of its changes.
+// that names no worker to use is left out, and logged once for each reason.
 func (r *registrations) byPool(items []plat.Item, now time.Time) map[string][]hosts.Worker {
 	out := map[string][]hosts.Worker{}
 	present := make(map[string]bool, len(items))
@@ -50,7 +49,7 @@
 		present[it.Key] = true
 		w, err := platform.DecodeWorker(it)
 		if err != nil {
-			if r.malformed.Add(it.Key, strconv.FormatInt(it.Rev, 10)) {
+			if r.malformed.Add(it.Key, err.Error()) {
 				r.log.Warn().Str("key", it.Key).Int64("rev", it.Rev).Err(err).Msg("worker registration cannot be decoded")
 			}
 			continue
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -10,7 +10,6 @@
 	"errors"
 	"fmt"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -230,7 +229,7 @@
 	for _, it := range items {
 		var d owner.Digest
 		if err := json.Unmarshal(it.Value, &d); err != nil {
-			if c.malformed.Add(it.Key, strconv.FormatInt(it.Rev, 10)) {
+			if c.malformed.Add(it.Key, err.Error()) {
 				c.Log.Error().Str("key", it.Key).Int64("rev", it.Rev).Err(err).Msg("pool digest cannot be decoded")
 			}
 			continue
