fleet: keep the quiet period after a plan that can't be read

Only fleet controllers write the plan; its readers are checked as those of others' entries.

Cause: a new controller went on with what json.Unmarshal had filled in before the error. Without the tasks of its predecessor, it took all hosts for ones that have had no order, and sent its own at once. A number of the next task of -1 made the next but one task number 0, which every worker counts as emptied for: the order ended a worker that was not empty.

Change: a plan that can't be read, or has a number out of range, is replaced by an empty one. All hosts are quiet until the quiet period is over, and numbers go on from the plan's revision.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -90,6 +90,9 @@
 	firstJobSeen time.Time
 	// orderedBefore has the hosts to which an earlier controller may have sent orders.
 	orderedBefore map[string]bool
+	// planUnread tells that the earlier controllers' plan could not be read: they may have sent
+	// orders to any host.
+	planUnread bool
 	// recentUntil has the end of the QuietPeriod of the hosts in Plan.Recent.
 	recentUntil map[string]time.Time
 	// endedAt has the times from which Plan.EndedWorkers are listed by this controller.
@@ -180,8 +183,10 @@
 			continue
 		}
 		c.planRev = it.Rev
-		if err := json.Unmarshal(it.Value, &c.plan); err != nil {
-			c.Log.Error().Err(err).Msg("fleet plan cannot be decoded")
+		if err := decodePlan(it.Value, &c.plan); err != nil {
+			// The store changes far more often than tasks are planned: the IDs are new.
+			c.plan, c.planUnread = Plan{NextID: it.Rev}, true
+			c.Log.Error().Str("key", it.Key).Int64("rev", it.Rev).Err(err).Msg("fleet plan cannot be decoded")
 		}
 	}
 	if c.plan.MaintainedByWave == nil {
--- a/fleet/order.go
+++ b/fleet/order.go
@@ -35,7 +35,7 @@
 // isQuiet reports whether an earlier controller may just have sent an order for a
 // host: orders of two controllers for one host must not overlap.
 func (c *Controller) isQuiet(host string, now time.Time) bool {
-	return c.orderedBefore[host] && now.Sub(c.startedAt) < c.QuietPeriod
+	return (c.orderedBefore[host] || c.planUnread) && now.Sub(c.startedAt) < c.QuietPeriod
 }
 
 // recordOrdered keeps a host in the plan until the QuietPeriod after an order for it
--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -1,6 +1,11 @@
 package fleet
 
-import "shallotpaddle/owner"
+import (
+	"encoding/json"
+	"errors"
+
+	"shallotpaddle/owner"
+)
 
 // Kind is the kind of an order.
 type Kind string
@@ -48,6 +53,22 @@
 	CompletedWaves map[string]bool `json:"over,omitempty"`
 }
 
+var errNextID = errors.New("number of the next task is out of range")
+
+// decodePlan decodes a stored plan.
+func decodePlan(value []byte, p *Plan) error {
+	if err := json.Unmarshal(value, p); err != nil {
+		return err
+	}
+	if p.NextID < 1 || p.NextID > maxTaskID {
+		return errNextID
+	}
+	return nil
+}
+
+// maxTaskID bounds the numbers of tasks, which count from 1.
+const maxTaskID = 1 << 53
+
 // ForPool returns what the plan, at revision rev, asks of a pool's owner.
 func (p *Plan) ForPool(pool string, rev int64) owner.PoolPlan {
 	w := owner.PoolPlan{Release: map[string]int64{}, Stop: map[string]bool{}, Due: map[string]bool{}, Ended: map[string]bool{}, Rev: rev}
