agent: take over a pool although the fleet plan can't be read

Cause: an owner reads the plan when it takes over, and tries again until it can. A plan that can't be decoded left each pool that changed its owner without one until a fleet controller wrote the plan anew.

Change: such a plan asks for nothing, is logged, and the watch brings the next one.

--- a/agent/follow.go
+++ b/agent/follow.go
@@ -119,7 +119,8 @@
 	return p, json.Unmarshal(it.Value, p)
 }
 
-// readPoolPlan reads the part of the fleet plan for one pool.
+// readPoolPlan reads the part of the fleet plan for one pool. A plan that can't be decoded
+// asks for nothing: the pool needs an owner before the fleet controller writes it anew.
 func (a *Agent) readPoolPlan(ctx context.Context, pool string) (owner.PoolPlan, error) {
 	items, _, err := a.store.List(ctx, fleet.PlanKey)
 	if err != nil {
@@ -131,7 +132,8 @@
 		}
 		p, err := decodePlan(it)
 		if err != nil {
-			return owner.PoolPlan{}, err
+			a.log.Error().Str("key", it.Key).Int64("rev", it.Rev).Err(err).Msg("fleet plan cannot be decoded")
+			return owner.PoolPlan{}, nil
 		}
 		return p.ForPool(pool, it.Rev), nil
 	}
