--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -223,7 +223,7 @@
 	key := elect.Key(fleet.ElectionName)
 	fence := f.kv.Put(key, []byte(name))
 	v := &policy.Version{Number: 1, Pools: []policy.Pool{{Name: "a"}, {Name: "off", Standby: true}}}
-	var logs io.Writer = io.Discard
+	logs := io.Discard
 	if f.logs != nil {
 		logs = f.logs
 	}
