--- a/agent/registrations.go
+++ b/agent/registrations.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"strconv"
 	"strings"
 	"time"
 
@@ -50,7 +49,7 @@
 }
 
 // byPool returns the workers that a list of registrations names. A registration
-// that names no worker to use is left out, and logged once for each of its changes.
+// that names no worker to use is left out, and logged once for each reason.
 // rosters returns the pools that have had a worker, by worker ID; it is called if there is one
 // that has not been read before.
 func (r *registrations) byPool(items []plat.Item, now time.Time, rosters func() (map[string][]string, error)) (workerList, error) {
@@ -61,7 +60,7 @@
 		present[it.Key] = true
 		w, err := platform.DecodeWorker(it)
 		if err != nil {
-			if r.malformed.Add(it.Key, strconv.FormatInt(it.Rev, 10)) {
+			if r.malformed.Add(it.Key, err.Error()) {
 				r.log.Warn().Str("key", it.Key).Int64("rev", it.Rev).Err(err).Msg("worker registration cannot be decoded")
 			}
 			out.addUnreadable(r.pools, strings.TrimPrefix(it.Key, platform.WorkerPrefix))
--- a/owner/roster.go
+++ b/owner/roster.go
@@ -1,8 +1,10 @@
 package owner
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"slices"
 	"strings"
 
@@ -47,6 +49,24 @@
 	return b
 }
 
+var errID = errors.New("ID is missing, or is not that of the key")
+
+// decodeRoster returns the entries of a stored roster that can be read, and the last error.
+func decodeRoster(value []byte) ([]rosterEntry, error) {
+	var raw []json.RawMessage
+	err := json.Unmarshal(value, &raw)
+	list := make([]rosterEntry, 0, len(raw))
+	for _, b := range raw {
+		var e rosterEntry
+		if fault := json.Unmarshal(b, &e); fault != nil || e.ID == "" {
+			err = cmp.Or(fault, errID)
+			continue
+		}
+		list = append(list, e)
+	}
+	return list, err
+}
+
 // readRoster reads the workers that an earlier owner used, which may run its
 // subtasks even if they are no longer registered, and the digest's revision.
 func (o *Owner) readRoster(ctx context.Context) error {
@@ -59,11 +79,10 @@
 			continue
 		}
 		o.roster.rev = it.Rev
-		var list []rosterEntry
-		if err := json.Unmarshal(it.Value, &list); err != nil {
+		list, err := decodeRoster(it.Value)
+		if err != nil {
+			o.endsUnread, o.former.rosterUnread = true, true
 			o.Log.Error().Str("pool", o.Pool).Err(err).Msg("stored list of workers is not readable")
-			o.former.rosterUnread = true
-			continue
 		}
 		for _, e := range list {
 			h := newHost(hosts.Worker{ID: e.ID, Pool: o.Pool, Address: e.Address, StartedMs: e.StartedMs})
@@ -86,15 +105,12 @@
 	return nil
 }
 
-// RosterPools returns the pools whose stored rosters have a worker, by worker ID. A roster that
-// can't be read has none; its pool's next owner says so.
+// RosterPools returns the pools whose stored rosters have a worker, by worker ID. Entries that
+// can't be read are left out; the pool's next owner reports them.
 func RosterPools(rosters []plat.Item) map[string][]string {
 	out := map[string][]string{}
 	for _, it := range rosters {
-		var list []rosterEntry
-		if json.Unmarshal(it.Value, &list) != nil {
-			continue
-		}
+		list, _ := decodeRoster(it.Value)
 		for _, e := range list {
 			out[e.ID] = append(out[e.ID], strings.TrimPrefix(it.Key, RosterPrefix))
 		}
