--- a/owner/unproven_test.go
+++ b/owner/unproven_test.go
@@ -5,7 +5,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -129,6 +131,29 @@
 	})
 }
 
+// TWICE: a worker gets no run before the roster with it is stored: the next owner waits for no
+// other worker.
+func TestNoStartBeforeRosterIsStored(t *testing.T) {
+	withoutFaults(t, 1, func(_ context.Context, pool *testPool) {
+		var stored atomic.Bool
+		commit := pool.commit
+		pool.commit = func(ctx context.Context, tx plat.Txn) (int64, []plat.Item, error) {
+			if !stored.Load() && slices.ContainsFunc(tx.Puts, func(p plat.Put) bool { return p.Key == "pool/"+poolName }) {
+				return 0, nil, plat.ErrUnavailable
+			}
+			return commit(ctx, tx)
+		}
+		pool.addWorkers(1)
+		time.Sleep(2 * time.Second)
+		pool.submit(&steps.Job{ID: fmt.Sprintf("%016x", 1), Queue: "q", MaxAttempts: 3, Steps: []steps.Step{{Count: 2, CPU: 8000, LongRunning: true}}})
+		time.Sleep(2 * time.Second)
+		assert.Len(pool.t, pool.workers.Running(), 1)
+		stored.Store(true)
+		time.Sleep(time.Second)
+		assert.Len(pool.t, pool.workers.Running(), 2)
+	})
+}
+
 // LOST: at a change of owner, the digest asked for no worker until the first one had answered
 // the new owner, so that the hosts of long-running subtasks seemed to be spare.
 func TestTakeoverKeepsMinWorkers(t *testing.T) {
