--- a/fleet/oddentry_test.go
+++ b/fleet/oddentry_test.go
@@ -82,6 +82,8 @@
 				time.Sleep(time.Second) // the plan is written anew
 				go f.runOwner(ctx, 0)
 				time.Sleep(20 * time.Second)
+				f.mu.Lock()
+				defer f.mu.Unlock()
 				require.Equal(t, "true", f.waveStatus("1"))
 				require.Empty(t, f.faults)
 				require.GreaterOrEqual(t, f.received[0].at.Sub(begun), quiet)
