entry: wait for the first probes before work is refused for want of workers

Cause: a host without any result of a probe counted as one that doesn't answer. The time after which a pool without workers refuses work began with the entry's first view of the pool, up to a second before the first probes are sent; an entry that was held up for another second refused what any worker would have taken. Readiness didn't ask for probes at all.

A pool with hosts that have not been probed yet isn't one without workers: its work waits, and the time begins with the results. An entry that starts is ready when no pool lacks them. New hosts of a pool in force don't make it unready again, as that would take all entries out of the balancer at once.

--- a/entry/loop.go
+++ b/entry/loop.go
@@ -56,6 +56,7 @@
 	lateSince     map[string]time.Time
 	hostReports   map[string]peers.HostReport // owned hosts that are unhealthy or leaving, by name
 	lastProbed    map[string]time.Time        // last probe of each host by this entry
+	probed        bool                        // the pools were probed since the start
 	dirty         bool                        // the tables or documents changed since the last view
 	progress      rolloutProgress
 	nextHeartbeat time.Time
--- a/entry/view.go
+++ b/entry/view.go
@@ -12,7 +12,7 @@
 func (l *loop) publish() {
 	now := l.entry.clock.Now()
 	reason := l.unreadyReason(now)
-	l.entry.router.SetView(l.makeView(reason == "" || reason == unreadyStopping))
+	l.entry.router.SetView(l.makeView(reason == "" || reason == unreadyStopping || reason == unreadyNoProbes))
 	l.entry.status.Store(l.makeStatus(now, reason))
 }
 
@@ -22,6 +22,7 @@
 	unreadyNoConf   = "no configuration yet"
 	unreadyNoHosts  = "no list of hosts yet"
 	unreadyIsolated = "no word from the store or a live peer"
+	unreadyNoProbes = "the workers have not been probed yet"
 )
 
 // unreadyReason returns why the entry takes no work, or "" if it takes work.
@@ -36,10 +37,30 @@
 		return unreadyNoHosts
 	case l.isolated(now):
 		return unreadyIsolated
+	case l.awaitsFirstProbes():
+		return unreadyNoProbes
 	}
 	return ""
 }
 
+// awaitsFirstProbes tells whether the entry has started and could dispatch nothing of some
+// pool, as the results of the first probes are not there yet. Once the pools have been
+// probed it stays false: new hosts must not make all entries unready at once.
+func (l *loop) awaitsFirstProbes() bool {
+	if l.probed {
+		return false
+	}
+	for id := range table.PoolID(l.tables.Pools()) {
+		if v := l.poolView(l.tables.Pool(id)); v.Unprobed && len(v.Hosts) == 0 {
+			return true
+		}
+	}
+	for id := range table.HostID(l.tables.Hosts()) {
+		l.probed = l.probed || !l.tables.Host(id).LastProbed().IsZero()
+	}
+	return false
+}
+
 // isolated tells whether other entries may move hosts without this entry's
 // knowledge: it has no contact with the store, receives no heartbeats of a peer
 // that has, and hears less than half of the entries. While it hears half of them,
@@ -121,6 +142,7 @@
 	out := route.PoolView{Name: p.Spec().Name}
 	for _, id := range p.Hosts() {
 		h := l.tables.Host(id)
+		out.Unprobed = out.Unprobed || h.AwaitsProbe()
 		if h.UsableSlots() == 0 {
 			continue
 		}
--- a/proof/conf_test.go
+++ b/proof/conf_test.go
@@ -164,3 +164,23 @@
 	f.waitInForce(3, f.entries)
 	require.Empty(t, stop(), "revisions that decreased")
 }
+
+// TestStartHeldUp starts an entry while the store is down, and holds it up for 3 s as soon
+// as it says that it is ready. It must not refuse work for want of workers that it has not
+// asked yet.
+func TestStartHeldUp(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3, 8)
+	f.setFaults(fakes.Fault{Kind: fakes.FaultDown})
+	e := f.entries[2]
+	e.proc.kill()
+	f.startEntry(e)
+	eventually(t, 10*time.Second, "an entry started during the outage is ready", func() bool {
+		return f.getStatus(e, "/readyz") == http.StatusOK
+	})
+	e.proc.signal(syscall.SIGSTOP)
+	<-time.After(3 * time.Second)
+	e.proc.signal(syscall.SIGCONT)
+	got := f.call(e, "digest", []byte("x"))
+	require.Equal(t, "answered", got.outcome, "%v %s", got.err, got.body)
+}
--- a/route/pool.go
+++ b/route/pool.go
@@ -54,7 +54,8 @@
 	running  map[string]int
 	outcomes map[string]*outcomeCounts // by host
 	paused   bool                      // the entry must not dispatch
-	// noHostsSince is when the view was first without hosts; zero if it has some.
+	// noHostsSince is when the view was first without hosts; zero if it has some, or if
+	// some have not been probed yet.
 	noHostsSince time.Time
 	closed       bool // taken off the router's list
 }
@@ -79,7 +80,7 @@
 	defer p.mu.Unlock()
 	p.view, p.paused = v, !serving
 	switch {
-	case len(v.Hosts) > 0:
+	case len(v.Hosts) > 0 || v.Unprobed:
 		p.noHostsSince = time.Time{}
 	case p.noHostsSince.IsZero():
 		p.noHostsSince = p.clock.Now()
--- a/route/pool_test.go
+++ b/route/pool_test.go
@@ -197,3 +197,25 @@
 	require.NoError(t, b.do("again", "once"))
 	b.requireFree()
 }
+
+// An entry that is held up at its start has no result of a probe for longer than
+// noHostsGrace. Work must wait: the workers have not been asked. The grace begins with the
+// first results.
+func TestUnprobedPoolKeepsWork(t *testing.T) {
+	b := newHarness(t, []string{"r1"}, 1)
+	b.setPool(PoolView{Name: "p", Unprobed: true})
+	o, waiting := b.enqueue("once")
+	b.clock.Advance(2 * noHostsGrace)
+	o.pool.tick()
+	require.False(t, waiting.granted(), "neither dispatched nor refused")
+	require.NoError(t, b.admitOrder(o))
+
+	b.setPool(PoolView{Name: "p"})
+	b.clock.Advance(noHostsGrace - time.Millisecond)
+	o.pool.tick()
+	require.False(t, waiting.granted())
+	b.clock.Advance(time.Millisecond)
+	o.pool.tick()
+	require.ErrorIs(t, waiting.notRun(), ErrNoWorker)
+	require.ErrorIs(t, b.admitOrder(o), ErrNoWorker)
+}
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -74,10 +74,12 @@
 	return append([]received(nil), b.seen...)
 }
 
-func (b *harness) setHosts(hosts []HostView) {
+func (b *harness) setHosts(hosts []HostView) { b.setPool(PoolView{Name: "p", Hosts: hosts}) }
+
+func (b *harness) setPool(p PoolView) {
 	b.SetView(&View{
 		Serving: true,
-		Pools:   map[string]PoolView{"p": {Name: "p", Hosts: hosts}},
+		Pools:   map[string]PoolView{p.Name: p},
 		Queues:  map[string]QueueView{"q": {Spec: table.QueueSpec{Name: "q", Pool: "p"}}},
 		Customers: map[string]table.CustomerSpec{
 			"c": {Name: "c", Rank: 1}, "z": {Name: "z", Rank: 99},
--- a/route/view.go
+++ b/route/view.go
@@ -18,6 +18,9 @@
 type PoolView struct {
 	Name  string
 	Hosts []HostView
+	// Unprobed means that hosts that are not in Hosts have not been probed yet and
+	// may turn out to be usable.
+	Unprobed bool
 }
 
 // QueueView is a queue with its opening hours as a parsed Window.
--- a/table/host.go
+++ b/table/host.go
@@ -200,9 +200,16 @@
 func (h *Host) OutOfService() bool { return h.reason != InService }
 
 // Schedulable tells whether new work may be placed on the host.
-func (h *Host) Schedulable() bool {
+func (h *Host) Schedulable() bool { return h.healthy && h.open() }
+
+// AwaitsProbe tells whether this entry has no result of a probe yet, and the host will be
+// Schedulable if it is found healthy.
+func (h *Host) AwaitsProbe() bool { return h.lastProbed.IsZero() && h.open() }
+
+// open tells whether the documents and the platform allow new work on the host.
+func (h *Host) open() bool {
 	usable := h.phase == NoOutage || h.phase == Probation
-	return usable && h.reason != Failed && h.healthy && h.listing != Leaving && h.moveTarget == None
+	return usable && h.reason != Failed && h.listing != Leaving && h.moveTarget == None
 }
 
 // UsableSlots returns the number of slots that new work may use: 0 on a host that is
