route: count no poll against the worker in which the entry was held up

Callers would see an outcome unknown, and their task cut off at its worker: the entry takes the worker for silent although it was itself held up (stopped, or without processor time), and the replies were there.

Cause: when a process that was held up runs again, the time-out of a call in flight has passed and is taken before the reply that lies in the socket. Each such poll counted as one without a reply. Likewise, two replies that the task has ended counted although the entry was held up between them or in the second, with the answer unread.

The router's ticks, 20 ms apart, measure hold-ups: gaps of 0.5 s or more. A poll that fails in one isn't counted, and one that finds the task ended counts anew after it. A silent worker is given up after six polls of an entry that runs, as before.

Failed before: route.TestHeldUpEntryWaitsOn ("the worker does not answer") and route.TestAnswerArrivesDuringHoldUp ("the worker ended the task and its answer did not come"), with the mock clock and the real client; both hold now.

--- a/route/router.go
+++ b/route/router.go
@@ -14,6 +14,7 @@
 	"shallotpaddle/burn"
 	"shallotpaddle/endpt"
 	"shallotpaddle/sched"
+	"shallotpaddle/suspend"
 	"shallotpaddle/table"
 )
 
@@ -74,6 +75,7 @@
 	pollInterval time.Duration
 	watchMu      sync.Mutex
 	watches      map[*answerWatch]struct{}
+	suspension   *suspend.Detector
 	active       atomic.Int64 // pieces of work that wait or run
 	stopping     atomic.Bool
 }
@@ -86,7 +88,7 @@
 		clock: clock, client: client, record: record,
 		admit: admit.New(admit.DefaultLimits()), pools: map[string]*pool{},
 		watches: map[*answerWatch]struct{}{}, maxDepth: table.DefaultDepth,
-		retryShare: admit.RetryShare, pollInterval: defaultPollInterval,
+		retryShare: admit.RetryShare, pollInterval: defaultPollInterval, suspension: suspend.New(clock),
 	}
 	r.view.Store(&View{})
 	return r
@@ -105,7 +107,10 @@
 // arrive any more, until ctx ends.
 func (r *Router) Run(ctx context.Context) error {
 	nextPoll := r.clock.Now().Add(watchTick)
+	r.suspension.Beat()
+	defer r.suspension.End()
 	return r.clock.TickerFunc(ctx, grantInterval, func() error {
+		r.suspension.Beat()
 		r.eachPool(func(_ string, p *pool) { p.tick() })
 		if now := r.clock.Now(); !now.Before(nextPoll) {
 			nextPoll = now.Add(watchTick)
@@ -115,6 +120,9 @@
 	}).Wait()
 }
 
+// Suspension returns the detector of hold-ups of this process. It is in use while Run runs.
+func (r *Router) Suspension() *suspend.Detector { return r.suspension }
+
 // SetView replaces the state of the fleet. After it returns, no slot is granted
 // on a host that the view does not name.
 func (r *Router) SetView(v *View) {
--- a/route/watch.go
+++ b/route/watch.go
@@ -46,7 +46,10 @@
 	// endedPolls and unansweredPolls count polls since the task was last seen
 	// running.
 	endedPolls, unansweredPolls int
-	polling                     bool // a poll is in flight
+	// heldUp is for how long the process had been held up when endedPolls was last
+	// counted. An answer that arrived in a hold-up has not been read.
+	heldUp  time.Duration
+	polling bool // a poll is in flight
 }
 
 // watch registers a dispatch that is about to be sent.
@@ -103,19 +106,26 @@
 
 // poll asks the worker for the state of the task.
 func (w *answerWatch) poll() {
+	heldUp := w.router.suspension.HeldUp()
 	state, _, err := w.router.client.State(context.Background(), w.addr, w.taskID)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.polling = false
-	w.countPoll(state, err)
+	now := w.router.suspension.HeldUp()
+	if w.heldUp != now {
+		w.endedPolls, w.heldUp = 0, now
+	}
+	w.countPoll(state, err, heldUp != now)
 }
 
-// countPoll counts the result of a poll and cancels the dispatch when a limit
-// is reached; w.mu is held.
-func (w *answerWatch) countPoll(state string, err error) {
+// countPoll counts the result of a poll and cancels the dispatch when a limit is
+// reached. heldUp is set if the process was held up in the poll, so that a failure says
+// nothing about the worker. w.mu is held.
+func (w *answerWatch) countPoll(state string, err error, heldUp bool) {
 	switch {
 	case err == nil && state == endpt.StateRunning:
 		w.endedPolls, w.unansweredPolls = 0, 0
+	case heldUp:
 	case err == nil, errors.Is(err, endpt.ErrNoTask):
 		w.endedPolls++
 	default:
--- a/route/watch_test.go
+++ b/route/watch_test.go
@@ -93,3 +93,92 @@
 	require.ErrorIs(t, context.Cause(ctx), errNoReply)
 	require.LessOrEqual(t, clock.Since(begun), maxUnansweredPolls*(defaultPollInterval+watchTick))
 }
+
+// watched is a dispatch whose worker is scripted, and a router whose ticks are called by
+// the test.
+type watched struct {
+	*answerWatch
+	clock *quartz.Mock
+	ctx   context.Context
+	// reply answers each poll.
+	reply func(w http.ResponseWriter, r *http.Request)
+}
+
+func newWatched(t *testing.T) *watched {
+	b := &watched{clock: quartz.NewMock(t).WithLogger(quartz.NoOpLogger)}
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { b.reply(w, r) }))
+	t.Cleanup(srv.Close)
+	client := endpt.New(4)
+	t.Cleanup(client.Close)
+	r := New(b.clock, client, func(Record) {})
+	ctx, cancel := context.WithCancelCause(context.Background())
+	b.ctx = ctx
+	b.answerWatch = r.watch(&slotRequest{host: HostView{Addr: strings.TrimPrefix(srv.URL, "http://")}}, "t", cancel)
+	t.Cleanup(b.stop)
+	r.suspension.Beat()
+	return b
+}
+
+// pass lets time pass, with the beats of a process that runs.
+func (b *watched) pass(d time.Duration) {
+	for ; d > 0; d -= grantInterval {
+		b.clock.Advance(min(d, grantInterval))
+		b.router.suspension.Beat()
+	}
+}
+
+// The entry is held up in each poll, so that each fails, while the worker runs the task. It
+// must not be given up; once the entry runs again and the worker is silent, it must.
+func TestHeldUpEntryWaitsOn(t *testing.T) {
+	b := newWatched(t)
+	fail := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }
+	b.reply = func(w http.ResponseWriter, r *http.Request) {
+		b.clock.Advance(2 * time.Second) // without a beat
+		fail(w, r)
+	}
+	for range 3 * maxUnansweredPolls {
+		b.pass(defaultPollInterval)
+		require.True(t, b.beginPoll())
+		b.poll()
+		require.NoError(t, context.Cause(b.ctx))
+	}
+	b.reply = fail
+	for range maxUnansweredPolls {
+		require.NoError(t, context.Cause(b.ctx))
+		b.pass(defaultPollInterval)
+		require.True(t, b.beginPoll())
+		b.poll()
+	}
+	require.ErrorIs(t, context.Cause(b.ctx), errNoReply)
+}
+
+// The worker ended the task. The entry is held up while the answer lies in its socket: before
+// the second reply and in it. The answer must get the time of an entry that runs.
+func TestAnswerArrivesDuringHoldUp(t *testing.T) {
+	b := newWatched(t)
+	done := func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{"state":"done"}`)) }
+	b.reply = done
+	b.pass(defaultPollInterval)
+	require.True(t, b.beginPoll())
+	b.poll()
+	b.clock.Advance(8 * time.Second) // without a beat
+	require.True(t, b.beginPoll())
+	b.poll()
+	require.NoError(t, context.Cause(b.ctx), "the first reply was before the hold-up")
+	b.pass(defaultPollInterval)
+	b.reply = func(w http.ResponseWriter, r *http.Request) {
+		b.clock.Advance(time.Second)
+		done(w, r)
+	}
+	require.True(t, b.beginPoll())
+	b.poll()
+	require.NoError(t, context.Cause(b.ctx), "held up in the poll")
+	b.reply = done
+	for range maxEndedPolls {
+		require.NoError(t, context.Cause(b.ctx))
+		b.pass(defaultPollInterval)
+		require.True(t, b.beginPoll())
+		b.poll()
+	}
+	require.ErrorIs(t, context.Cause(b.ctx), errTaskEnded)
+}
