entry: drop probes that fail while the entry is held up

Callers would see work refused for want of workers, and operators hosts that are taken for failed, after the entry that owns the pool was held up: all probes of a round that was in flight fail by their time-outs when it runs again, and the entry tells all others that the workers are unhealthy.

A failed probe in which the process was held up has no result. The host keeps its last one and is probed again first.

Failed before: entry.TestHeldUpEntryKeepsWorkers ("Should be true, no result": the probe counted as a failure). It holds now, and a worker that doesn't answer an entry that runs is unhealthy after one probe, as before.

--- a/entry/probe.go
+++ b/entry/probe.go
@@ -70,7 +70,10 @@
 	urgent     bool      // out of service or unhealthy: a change may wait for the result
 	lastProbed time.Time // zero if never
 	ok         bool      // the host answered
-	usage      endpt.Usage
+	// void is set if the probe failed and the process was held up meanwhile: the failure
+	// says nothing about the host.
+	void  bool
+	usage endpt.Usage
 }
 
 // chooseProbes returns the probes to make now, by priority and among equals the
@@ -108,8 +111,10 @@
 	for i := range all {
 		go func() {
 			defer func() { done <- struct{}{} }()
+			heldUp := e.router.Suspension().HeldUp()
 			u, err := e.endpoints.Usage(ctx, all[i].addr)
 			all[i].ok, all[i].usage = err == nil, u
+			all[i].void = err != nil && e.router.Suspension().HeldUp() != heldUp
 		}()
 	}
 	for range all {
@@ -126,7 +131,12 @@
 func (m probeResults) apply(l *loop) {
 	now := l.entry.clock.Now()
 	for i := range m.hosts {
-		l.applyProbe(&m.hosts[i], now)
+		p := &m.hosts[i]
+		if p.void {
+			l.lastProbed[p.host] = p.lastProbed
+			continue
+		}
+		l.applyProbe(p, now)
 	}
 	l.dirty = true
 }
--- a/entry/probe_test.go
+++ b/entry/probe_test.go
@@ -1,6 +1,9 @@
 package entry
 
 import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -106,3 +109,44 @@
 	h.applyProbes(probe{host: "b"})
 	require.False(t, h.entry.router.View().Pools["p"].Unprobed)
 }
+
+// probeAgain probes a host and applies the result; before each answer of the worker, the
+// process is held up for heldUp.
+func (h *harness) probeAgain(host string, status int, heldUp time.Duration) {
+	h.entry.router.Suspension().Beat()
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		h.clock.Advance(heldUp)
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte(`{"boot":"b","slots":8,"open":true}`))
+	}))
+	defer srv.Close()
+	defer h.entry.endpoints.Close()
+	all := []probe{{host: host, addr: strings.TrimPrefix(srv.URL, "http://"), lastProbed: h.lastProbed[host]}}
+	h.lastProbed[host] = h.clock.Now()
+	h.entry.probeAll(h.t.Context(), all)
+	(<-h.entry.messages).apply(h.loop)
+	h.publishWithPeer()
+}
+
+// The process is held up in a round of probes, so that they fail. The workers are fine: they
+// must not lose their work, and are asked again first.
+func TestHeldUpEntryKeepsWorkers(t *testing.T) {
+	h := newHarness(t)
+	h.setPool("a")
+	first := h.clock.Now()
+	h.probeAgain("a", http.StatusServiceUnavailable, 2*time.Second)
+	require.True(t, h.tables.Host(0).AwaitsProbe(), "no result")
+	require.Zero(t, h.lastProbed["a"])
+	require.False(t, h.entry.Status().Ready)
+
+	h.probeAgain("a", http.StatusOK, 2*time.Second)
+	require.True(t, h.tables.Host(0).Healthy(), "an answer counts, however late")
+	h.clock.Advance(time.Second)
+	h.probeAgain("a", http.StatusServiceUnavailable, 2*time.Second)
+	require.True(t, h.tables.Host(0).Healthy())
+	require.Len(t, h.entry.router.View().Pools["p"].Hosts, 1)
+	require.Less(t, h.lastProbed["a"].Sub(first), 3*time.Second, "the time of the probe before")
+
+	h.probeAgain("a", http.StatusServiceUnavailable, 0)
+	require.False(t, h.tables.Host(0).Healthy(), "the process ran, the worker didn't answer")
+}
