route: give the answer an interval from the reply that the task has ended

Callers would see an outcome unknown for work that was done and answered: the entry cancels the dispatch after two replies that the task has ended, while the answer is on its way.

Cause: the next poll was due an interval after the begin of the one before. With replies that are late by as much, the second poll was sent right after the first reply, and two replies in a row ended the wait at once.

After a reply that the task has ended, the next poll is due an interval after the reply. Waits for silent workers are as long as before.

Failed before: route.TestAnswerHasAnIntervalAfterTheEnd (a poll due right after the reply, "Should be false"); it holds now.

--- a/route/watch.go
+++ b/route/watch.go
@@ -41,7 +41,8 @@
 	waitingSince time.Time
 	// nextPoll is when the next poll is due, counted from the begin of the wait or of
 	// the poll before, so that a silent worker is given up after maxUnansweredPolls
-	// intervals and one timeout.
+	// intervals and one timeout. After a reply that the task has ended it is counted from
+	// the reply, to give the answer the time to arrive.
 	nextPoll time.Time
 	// endedPolls and unansweredPolls count polls since the task was last seen
 	// running.
@@ -128,6 +129,7 @@
 	case heldUp:
 	case err == nil, errors.Is(err, endpt.ErrNoTask):
 		w.endedPolls++
+		w.nextPoll = w.router.clock.Now().Add(w.router.pollInterval)
 	default:
 		w.unansweredPolls++
 	}
--- a/route/watch_test.go
+++ b/route/watch_test.go
@@ -182,3 +182,24 @@
 	}
 	require.ErrorIs(t, context.Cause(b.ctx), errTaskEnded)
 }
+
+// The worker's replies come late, and say that the task has ended. The answer, which is on
+// its way in another connection, must have an interval from the first of them to arrive: a
+// reply that is as late as the interval is long made the next poll due at once.
+func TestAnswerHasAnIntervalAfterTheEnd(t *testing.T) {
+	b := newWatched(t)
+	b.reply = func(w http.ResponseWriter, _ *http.Request) {
+		b.pass(defaultPollInterval)
+		_, _ = w.Write([]byte(`{"state":"done"}`))
+	}
+	b.pass(defaultPollInterval)
+	require.True(t, b.beginPoll())
+	b.poll()
+	require.False(t, b.beginPoll())
+	b.pass(defaultPollInterval - time.Millisecond)
+	require.False(t, b.beginPoll())
+	b.pass(time.Millisecond)
+	require.True(t, b.beginPoll())
+	b.poll()
+	require.ErrorIs(t, context.Cause(b.ctx), errTaskEnded)
+}
