proof: record late replies of the proxies, and what cut tasks off

Each fleet now logs when a call through a proxy of the same process was late; TestMove and TestStop log unclear outcomes with what the caller was told, and cut tasks with their times, before they check them. No check is changed.

--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -52,6 +52,7 @@
 	entries      []*entry
 	proxies      map[string]*toxiproxy.Proxy // by link: host, entry>platform or >entry
 	client       *http.Client
+	begun        time.Time
 }
 
 // entry is one entry process, its listening addresses and its settings file.
@@ -83,7 +84,7 @@
 func startFleet(t *testing.T, n, w int, note string) *fleet {
 	t.Helper()
 	f := &fleet{
-		t: t, workerAddrs: map[string]string{}, proxies: map[string]*toxiproxy.Proxy{},
+		t: t, workerAddrs: map[string]string{}, proxies: map[string]*toxiproxy.Proxy{}, begun: time.Now(),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableKeepAlives: false}},
 	}
 	t.Cleanup(f.close)
@@ -122,11 +123,13 @@
 	}
 }
 
-// close stops the proxies, and prints the entries' logs if the test failed.
+// close stops the proxies, logs whether they were held up, and prints the entries' logs if
+// the test failed.
 func (f *fleet) close() {
 	for _, p := range f.proxies {
 		p.Stop()
 	}
+	f.t.Log(proxies.since(f.begun))
 	if f.t.Failed() {
 		for _, e := range f.entries {
 			if e.proc != nil {
--- a/proof/move_test.go
+++ b/proof/move_test.go
@@ -106,9 +106,10 @@
 			f.applyNote(1, resizeNote("first-move", 1, 3, 5))
 			c.disturb(f)
 			eventually(t, moveLimit, "pools have reached their sizes", f.poolsSized)
-			photos.finish()
-			diary.finish()
+			logUnclear(t, photos.finish())
+			logUnclear(t, diary.finish())
 			w.stop()
+			logCut(t, f)
 			require.Empty(t, w.overBudget, "planned outages beyond the budget")
 			for _, p := range f.fleetState(f.entries[0]).Pools {
 				t.Logf("pool %s has %d hosts", p.Name, p.Hosts)
--- a/proof/proc_test.go
+++ b/proof/proc_test.go
@@ -59,6 +59,9 @@
 	build := exec.Command("go", "build", "-o", dir, "shallotpaddle", "shallotpaddle/fakes/platd", "shallotpaddle/fakes/workd")
 	build.Stderr = os.Stderr
 	code := 1
+	if err := proxies.start(); err != nil {
+		panic(err)
+	}
 	if err := build.Run(); err == nil {
 		code = m.Run()
 	}
--- a/proof/stop_test.go
+++ b/proof/stop_test.go
@@ -33,14 +33,11 @@
 				f.waitReady()
 			}
 			all := l.finish()
+			logUnclear(t, all)
+			logCut(t, f)
 			tasks := f.startedTasks()
 			require.Empty(t, cutTasks(tasks))
 			require.Positive(t, checkResults(t, l, tasks, false))
-			for i := range all {
-				if a := &all[i]; a.outcome == "broken" || a.outcome == "unknown" {
-					t.Logf("%s: %s %d %s %v", a.outcome, a.id, a.status, a.body, a.err)
-				}
-			}
 			require.Zero(t, countOutcome(all, "broken"), "of %d", len(all))
 			require.Zero(t, countOutcome(all, "unknown"), "of %d", len(all))
 			t.Logf("%d requests: %d answered, %d not run", len(all), countOutcome(all, "answered"), countOutcome(all, "not-run"))
