endpt: tell calls that waited for the connection from silence

Callers would see an outcome unknown and their task cut off, and work refused for want of workers, at a worker that answers, only slowly.

Cause: polls of tasks, probes and renewals share one connection to each worker, and the time-out of 2 s includes the wait for it. With eight tasks on a worker and replies that take 0.6 s, as beside a load above 60, five of eight calls timed out without having been sent; each counted as one that the worker left unanswered. Six in a row give the worker up, and one failed probe makes it unhealthy.

A call that had the connection for less than half of its time and fails by its time-out is now ErrBusy if the worker has answered others since the call began. Such a poll isn't counted, and such a probe has no result. Where the worker answers nothing, or is silent on the call that was sent, everything is as before, and so is the time after which a silent worker is given up.

--- a/endpt/calls.go
+++ b/endpt/calls.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
+	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -68,6 +72,54 @@
 func (c *Client) call(ctx context.Context, method, addr, path string, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	w := wait{begun: time.Now(), heard: c.heard.count(addr)}
+	err := c.exchange(httptrace.WithClientTrace(ctx, w.trace()), method, addr, path, out)
+	if err == nil || errors.Is(err, ErrNoTask) {
+		c.heard.add(addr)
+		return err
+	}
+	if ctx.Err() != nil && w.forConnection(time.Now()) && c.heard.count(addr) != w.heard {
+		return fmt.Errorf("%w: %w", ErrBusy, err)
+	}
+	return err
+}
+
+// wait is the time of one control call.
+type wait struct {
+	begun time.Time
+	heard uint64       // replies of the worker before
+	sent  atomic.Int64 // Unix nanoseconds when it got the connection; 0 before
+}
+
+func (w *wait) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { w.sent.Store(time.Now().UnixNano()) }}
+}
+
+// forConnection tells whether the call had the connection for less than half of its time.
+func (w *wait) forConnection(now time.Time) bool {
+	sent := w.sent.Load()
+	return sent == 0 || now.UnixNano()-sent < int64(now.Sub(w.begun)/2)
+}
+
+// replies counts the workers' replies to control calls.
+type replies struct {
+	mu     sync.Mutex
+	byAddr map[string]uint64
+}
+
+func (r *replies) add(addr string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.byAddr[addr]++
+}
+
+func (r *replies) count(addr string) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.byAddr[addr]
+}
+
+func (c *Client) exchange(ctx context.Context, method, addr, path string, out any) error {
 	res, err := c.do(ctx, method, addr, path)
 	if err != nil {
 		return err
--- a/endpt/client.go
+++ b/endpt/client.go
@@ -32,6 +32,9 @@
 	ErrUnknown = errors.New("outcome of task unknown")
 	// ErrForeign is an ErrUnknown: the answer names another task.
 	ErrForeign = fmt.Errorf("answer of another task: %w", ErrUnknown)
+	// ErrBusy is returned for a control call that waited for the connection to the worker
+	// for most of its time, while the worker answered others: the worker is not silent.
+	ErrBusy = errors.New("worker answers other calls")
 	// ErrNoTask is returned for a task that is unknown to the worker.
 	ErrNoTask = errors.New("no such task")
 )
@@ -85,6 +88,7 @@
 type Client struct {
 	tasks, repeats, control limitedClient
 	foreign                 atomic.Int64
+	heard                   replies
 }
 
 // limitedClient is an HTTP client with a limit of dispatches in flight to each
@@ -98,6 +102,7 @@
 // dispatched the first time, and reservedConns more.
 func New(conns int) *Client {
 	c := &Client{tasks: newLimitedClient(conns), repeats: newLimitedClient(repeatConns), control: newLimitedClient(controlConns)}
+	c.heard.byAddr = map[string]uint64{}
 	c.repeats.transport().DisableKeepAlives = true
 	return c
 }
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -70,8 +70,8 @@
 	urgent     bool      // out of service or unhealthy: a change may wait for the result
 	lastProbed time.Time // zero if never
 	ok         bool      // the host answered
-	// void is set if the probe failed and the process was held up meanwhile: the failure
-	// says nothing about the host.
+	// void is set if the probe failed by this process, as it was held up meanwhile or its
+	// other calls took the connection: the failure says nothing about the host.
 	void  bool
 	usage endpt.Usage
 }
@@ -114,7 +114,7 @@
 			heldUp := e.router.Suspension().HeldUp()
 			u, err := e.endpoints.Usage(ctx, all[i].addr)
 			all[i].ok, all[i].usage = err == nil, u
-			all[i].void = err != nil && e.router.Suspension().HeldUp() != heldUp
+			all[i].void = err != nil && (errors.Is(err, endpt.ErrBusy) || e.router.Suspension().HeldUp() != heldUp)
 		}()
 	}
 	for range all {
--- a/route/watch.go
+++ b/route/watch.go
@@ -126,7 +126,7 @@
 	switch {
 	case err == nil && state == endpt.StateRunning:
 		w.endedPolls, w.unansweredPolls = 0, 0
-	case heldUp:
+	case heldUp, errors.Is(err, endpt.ErrBusy):
 	case err == nil, errors.Is(err, endpt.ErrNoTask):
 		w.endedPolls++
 		w.nextPoll = w.router.clock.Now().Add(w.router.pollInterval)
--- a/route/watch_test.go
+++ b/route/watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -203,3 +204,13 @@
 	b.poll()
 	require.ErrorIs(t, context.Cause(b.ctx), errTaskEnded)
 }
+
+// Polls that waited for the entry's connection to a worker that answers others don't make
+// it silent.
+func TestBusyWorkerIsNotSilent(t *testing.T) {
+	b := newWatched(t)
+	for range 3 * maxUnansweredPolls {
+		b.countPoll("", fmt.Errorf("state: %w", endpt.ErrBusy), false)
+	}
+	require.NoError(t, context.Cause(b.ctx))
+}
