--- a/route/router.go
+++ b/route/router.go
@@ -14,7 +14,7 @@
 	"shallotpaddle/burn"
 	"shallotpaddle/endpt"
 	"shallotpaddle/sched"
-	"shallotpaddle/suspend"
+	"shallotpaddle/stall"
 	"shallotpaddle/table"
 )
 
@@ -75,7 +75,7 @@
 	pollInterval time.Duration
 	watchMu      sync.Mutex
 	watches      map[*answerWatch]struct{}
-	suspension   *suspend.Detector
+	suspension   *stall.Detector
 	active       atomic.Int64 // pieces of work that wait or run
 	stopping     atomic.Bool
 }
@@ -88,7 +88,7 @@
 		clock: clock, client: client, record: record,
 		admit: admit.New(admit.DefaultLimits()), pools: map[string]*pool{},
 		watches: map[*answerWatch]struct{}{}, maxDepth: table.DefaultDepth,
-		retryShare: admit.RetryShare, pollInterval: defaultPollInterval, suspension: suspend.New(clock),
+		retryShare: admit.RetryShare, pollInterval: defaultPollInterval, suspension: stall.New(clock),
 	}
 	r.view.Store(&View{})
 	return r
@@ -121,7 +121,7 @@
 }
 
 // Suspension returns the detector of hold-ups of this process. It is in use while Run runs.
-func (r *Router) Suspension() *suspend.Detector { return r.suspension }
+func (r *Router) Suspension() *stall.Detector { return r.suspension }
 
 // SetView replaces the state of the fleet. After it returns, no slot is granted
 // on a host that the view does not name.
--- a/suspend/suspend.go
+++ b/stall/stall.go
@@ -1,7 +1,7 @@
-// Package suspend notices when the process was held up: stopped by a signal, or without
+// Package stall notices when the process was held up: stopped by a signal, or without
 // processor time. What others sent meanwhile was not read, and time-outs that passed say
 // nothing about them.
-package suspend
+package stall
 
 import (
 	"sync"
--- a/suspend/suspend_test.go
+++ b/stall/stall_test.go
@@ -1,4 +1,4 @@
-package suspend
+package stall
 
 import (
 	"testing"
