owner: list an incarnation beside the lost one of its worker

A worker that is removed in a takeover stays in the roster until what may have been lost with it is recorded. If it came back meanwhile under its ID, the roster had the lost incarnation only, with its address, while the new one got work. An owner that was elected then looked for runs at the former address; if another worker answered there, it took the runs of the new incarnation for ended unless the list of workers led it there. Both are listed now, the lost one marked as such. An owner of an earlier version reads the present one.

Before, TestRosterHasIncarnationBesideLostOne failed: born 1000 at address a instead of 2000 at b.

--- a/owner/roster.go
+++ b/owner/roster.go
@@ -13,19 +13,25 @@
 	ID        string `json:"id"`
 	Address   string `json:"addr"`
 	StartedMs int64  `json:"born,omitempty"`
+	// Lost tells that the incarnation was removed during the takeover and that another one
+	// of the worker is listed as well.
+	Lost bool `json:"lost,omitempty"`
 }
 
-func (h *host) rosterEntry() rosterEntry { return rosterEntry{h.id, h.worker.Address, h.startedMs} }
+func (h *host) rosterEntry() rosterEntry {
+	return rosterEntry{ID: h.id, Address: h.worker.Address, StartedMs: h.startedMs}
+}
 
 func (o *Owner) encodeRoster() []byte {
 	list := append(make([]rosterEntry, 0, len(o.hosts)), o.missing...)
+	for i := range list {
+		list[i].Lost = o.hosts[list[i].ID] != nil
+	}
 	for _, h := range o.hosts {
-		if !slices.ContainsFunc(o.missing, func(e rosterEntry) bool { return e.ID == h.id }) {
-			list = append(list, h.rosterEntry())
-		}
+		list = append(list, h.rosterEntry())
 	}
 	slices.SortFunc(list, func(a, b rosterEntry) int {
-		if a.ID < b.ID {
+		if a.ID < b.ID || a.ID == b.ID && a.Lost {
 			return -1
 		}
 		return 1
@@ -44,6 +50,7 @@
 	if err != nil {
 		return err
 	}
+	o.missing = nil
 	for _, it := range items {
 		if it.Key != o.roster.key {
 			continue
@@ -55,6 +62,10 @@
 			continue
 		}
 		for _, e := range list {
+			if e.Lost {
+				o.missing = append(o.missing, e)
+				continue
+			}
 			h := newHost(hosts.Worker{ID: e.ID, Pool: o.Pool, Address: e.Address, StartedMs: e.StartedMs})
 			h.inherited = true
 			o.hosts[e.ID] = h
