--- a/owner/roster.go
+++ b/owner/roster.go
@@ -17,6 +17,9 @@
 	ID        string `json:"id"`
 	Address   string `json:"addr"`
 	StartedMs int64  `json:"born,omitempty"`
+	// Lost tells that the incarnation was removed during the takeover and that another one
+	// of the worker is listed as well.
+	Lost bool `json:"lost,omitempty"`
 }
 
 // formerRecords is what an earlier owner has stored besides the jobs.
@@ -27,17 +30,23 @@
 	rosterUnread bool
 }
 
-func (h *host) rosterEntry() rosterEntry { return rosterEntry{h.id, h.worker.Address, h.startedMs} }
+func (h *host) rosterEntry() rosterEntry {
+	return rosterEntry{ID: h.id, Address: h.worker.Address, StartedMs: h.startedMs}
+}
 
 func (o *Owner) encodeRoster() []byte {
 	list := append(make([]rosterEntry, 0, len(o.hosts)), o.missing...)
+	for i := range list {
+		h := o.hosts[list[i].ID]
+		list[i].Lost = h != nil && o.inRoster(h)
+	}
 	for _, h := range o.hosts {
-		if o.inRoster(h) && !slices.ContainsFunc(o.missing, func(e rosterEntry) bool { return e.ID == h.id }) {
+		if o.inRoster(h) {
 			list = append(list, h.rosterEntry())
 		}
 	}
 	slices.SortFunc(list, func(a, b rosterEntry) int {
-		if a.ID < b.ID {
+		if a.ID < b.ID || a.ID == b.ID && a.Lost {
 			return -1
 		}
 		return 1
@@ -74,6 +83,7 @@
 	if err != nil {
 		return err
 	}
+	o.missing = nil
 	for _, it := range items {
 		if it.Key != o.roster.key {
 			continue
@@ -85,6 +95,10 @@
 			o.Log.Error().Str("pool", o.Pool).Err(err).Msg("stored list of workers is not readable")
 		}
 		for _, e := range list {
+			if e.Lost {
+				o.missing = append(o.missing, e)
+				continue
+			}
 			h := newHost(hosts.Worker{ID: e.ID, Pool: o.Pool, Address: e.Address, StartedMs: e.StartedMs})
 			h.inherited = true
 			o.hosts[e.ID] = h
