owner: refute a capacity far beyond that of all other workers

The machines of a pool differ by a small factor: a figure of more than 16 times that of any other worker of the pool counts as that one. Workers that have answered are compared, at a takeover all that are registered, as jobs accepted since the election start before most have answered. A pool with one worker has nothing to compare with.

The entry is one more kind in TestModelOddEntries.

--- a/owner/act.go
+++ b/owner/act.go
@@ -170,13 +170,13 @@
 func (o *Owner) candidates(now time.Time) ([]pack.Worker, []*host) {
 	cands := make([]pack.Worker, 0, len(o.hosts))
 	candHosts := make([]*host, 0, len(o.hosts))
-	kept := o.hostsKeptForTrials()
+	kept, others := o.hostsKeptForTrials(), o.secondLargest()
 	for _, id := range slices.Sorted(maps.Keys(o.hosts)) {
 		h := o.hosts[id]
 		if !h.usable(now, o.roster.stored) {
 			continue
 		}
-		r := h.worker.Capacity
+		r := soundCapacity(h.worker.Capacity, others)
 		c := pack.Worker{
 			ID: h.id, Labels: h.worker.Labels, Rack: h.worker.Rack, Capacity: r, DrainSoon: o.fleetPlan.Due[h.id], OnTrial: kept[h],
 			Free: hosts.Resources{CPU: r.CPU - h.used.CPU, Mem: r.Mem - h.used.Mem, GPU: r.GPU - h.used.GPU},
--- a/owner/modelodd_test.go
+++ b/owner/modelodd_test.go
@@ -61,6 +61,10 @@
 		list[i].Capacity = hosts.Resources{}
 		return list
 	},
+	"capacity of no worker": func(list []hosts.Worker, i int) []hosts.Worker {
+		list[i].Capacity = hosts.Resources{CPU: 1e9, Mem: 1e9}
+		return list
+	},
 	"names no worker": func(list []hosts.Worker, i int) []hosts.Worker {
 		return append(list, phantom(list[i].StartedMs, nobody))
 	},
--- a/owner/unproven_test.go
+++ b/owner/unproven_test.go
@@ -154,6 +154,21 @@
 	})
 }
 
+// LIMIT: the entry of a worker tells a capacity that none has for some seconds. It gets no more
+// than the others could take.
+func TestOddCapacityOverloadsNoWorker(t *testing.T) {
+	withoutFaults(t, 3, func(_ context.Context, pool *testPool) {
+		pool.mu.Lock()
+		pool.list = func() []hosts.Worker { return oddEntries["capacity of no worker"](pool.workers.Registered(), 0) }
+		pool.mu.Unlock()
+		time.Sleep(time.Second)
+		for i := range 60 {
+			pool.submit(&steps.Job{ID: fmt.Sprintf("%016x", i), Queue: "q", MaxAttempts: 3, Steps: []steps.Step{{Count: 4, CPU: 1000}}})
+		}
+		time.Sleep(5 * time.Second)
+	})
+}
+
 // LOST: at a change of owner, the digest asked for no worker until the first one had answered
 // the new owner, so that the hosts of long-running subtasks seemed to be spare.
 func TestTakeoverKeepsMinWorkers(t *testing.T) {
