fleet, shift: ignore one host's capacity far beyond that of all others

One host in the platform's list with a CPU of 1e9 became the size of all hosts: every pool seemed to need no more hosts than its long-running subtasks, and hosts at work went to standby (LOST). The largest size is now without one of more than 16 times the next.

The controller reads the platform's list of machines and no entries of workers, so that entries which name no worker count for nothing there: loads are looked up by the worker that the list names for a host.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -317,14 +317,14 @@
 // name, and the processor of the largest host in thousandths of a core.
 func (c *Controller) poolStates() (map[string]*shift.Pool, int) {
 	out := map[string]*shift.Pool{}
-	cpu := 0
+	sizes := make([]int, 0, len(c.hosts))
 	for _, p := range c.Policy().Pools {
 		d := c.digests[p.Name]
 		out[p.Name] = &shift.Pool{Name: p.Name, Standby: p.Standby, DemandCPU: d.DemandCPU, MinHosts: max(d.MinWorkers, 1), Excluded: c.refusedHosts[p.Name]}
 	}
 	for i := range c.hosts {
 		h := &c.hosts[i]
-		cpu = max(cpu, h.Capacity.CPU)
+		sizes = append(sizes, h.Capacity.CPU)
 		p := out[h.Pool]
 		if p == nil || h.State != hosts.Up || c.hasTask(h.Name) || h.Worker == "" && !p.Standby {
 			continue
@@ -341,7 +341,7 @@
 			p.Arriving++
 		}
 	}
-	return out, cpu
+	return out, shift.LargestCPU(sizes)
 }
 
 // planMoves plans moves of hosts to pools that need more, from pools with a
--- a/owner/capacity.go
+++ b/owner/capacity.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"shallotpaddle/hosts"
+	"shallotpaddle/shift"
 )
 
 // largestKept is how long the largest capacity counts after the last worker that had it has
@@ -17,11 +18,6 @@
 	seenAt [3]time.Time
 }
 
-// oddFactor is how many times as large as that of any other worker of the pool a capacity may
-// be: an entry of another writer may have any number, while the machines of a pool differ by
-// a small factor.
-const oddFactor = 16
-
 // secondLargest returns the second largest capacity of the registered workers that have
 // answered, for each resource. During the takeover, when few have, it counts all.
 func (o *Owner) secondLargest() hosts.Resources {
@@ -49,7 +45,7 @@
 // it is far beyond that.
 func soundCapacity(registered, others hosts.Resources) hosts.Resources {
 	bound := func(v, other int) int {
-		if other > 0 && v/oddFactor > other {
+		if other > 0 && v/shift.OddFactor > other {
 			return other
 		}
 		return v
