--- a/owner/roster.go
+++ b/owner/roster.go
@@ -125,8 +125,11 @@
 	out := map[string][]string{}
 	for _, it := range rosters {
 		list, _ := decodeRoster(it.Value)
+		pool := strings.TrimPrefix(it.Key, RosterPrefix)
 		for _, e := range list {
-			out[e.ID] = append(out[e.ID], strings.TrimPrefix(it.Key, RosterPrefix))
+			if !slices.Contains(out[e.ID], pool) {
+				out[e.ID] = append(out[e.ID], pool)
+			}
 		}
 	}
 	return out
--- a/owner/rosterlost_test.go
+++ b/owner/rosterlost_test.go
@@ -31,5 +31,6 @@
 		require.Equal(t, rosterEntry{ID: "v", Address: "c", StartedMs: 1000}, r.hosts["v"].rosterEntry())
 		lost.Lost = true
 		require.Equal(t, []rosterEntry{lost}, r.missing)
+		require.Equal(t, map[string][]string{"w": {"a"}, "v": {"a"}}, RosterPools([]plat.Item{{Key: rosterKey(r.Pool), Value: value}}))
 	}
 }
