elect: claim the pools of an ended lease again at once

Callers saw after a store that was away for 6 s and let leases run out: for .7 to 1.1 s no pool had an owner, and then mostly another entry's, which knows nothing.

Cause: an entry waits claimDelay (400 ms) after it has a new lease before it claims anything, so that entries that start together see each other; it waited 100 ms before it handled the answer that its lease has ended; and a registration that was refused because the lease has ended was not taken for that answer.

Change: an entry whose lease has ended claims the pools that it led by it as soon as it has a new lease. The leader's key is created under compare-and-swap as before, with a higher fencing token; who claims a pool that it did not lead is unchanged.

Evidence: elect.TestLeadersReturnWhenLeasesEnd failed before (pool a: "map[] should have 1 item(s), but has 0") and holds.

--- a/elect/claim.go
+++ b/elect/claim.go
@@ -51,6 +51,16 @@
 	}
 }
 
+// reclaimFormer claims the pools that this entry led when its lease ended. If the leases
+// of all entries ended while the store was away, each has its pools back at once.
+func (e *Elector) reclaimFormer(ctx context.Context) {
+	for _, pool := range e.pools {
+		if _, led := e.leaders[pool]; e.former[pool] && !led && !e.writePending[pool] {
+			e.claim(ctx, pool)
+		}
+	}
+}
+
 // reconcileLeader handles a leader's key that names this entry while it does not
 // lead. If an earlier claim was carried out late, it takes the leadership. If the
 // store has refused its owner, it removes the key for a new election.
@@ -167,5 +177,6 @@
 		return
 	}
 	e.leaders[m.pool] = leader{e.Name, e.lease, m.rev}
+	delete(e.former, m.pool)
 	e.win(Term{m.pool, m.rev, m.term})
 }
--- a/elect/elect.go
+++ b/elect/elect.go
@@ -89,6 +89,9 @@
 	vacantSince  map[string]time.Time   // when a pool was first known to have no leader
 	writePending map[string]bool        // pools whose leader key this entry is claiming or removing
 	held         map[string]Term        // pools that this entry leads
+	// former has the pools whose leader's key ended with this entry's lease, and that no
+	// other entry has claimed since.
+	former map[string]bool
 	// refusedFence has the fencing token with which the store last refused this
 	// entry's owner, by pool.
 	refusedFence map[string]int64
@@ -138,7 +141,7 @@
 	return &Elector{
 		Params: p, messages: make(chan any, 64), coresByEntry: map[string]float64{}, leaders: map[string]leader{},
 		terms: map[string]termCounter{}, vacantSince: map[string]time.Time{}, writePending: map[string]bool{}, held: map[string]Term{},
-		refusedFence: map[string]int64{},
+		refusedFence: map[string]int64{}, former: map[string]bool{},
 	}
 }
 
@@ -156,7 +159,10 @@
 		sent  time.Duration // by SinceBoot
 		err   error
 	}
-	registered   struct{ err error }
+	registered struct {
+		lease int64
+		err   error
+	}
 	leaseRenewed struct {
 		lease int64
 		at    time.Time
@@ -226,6 +232,9 @@
 	case registered:
 		e.granting, e.keyWrittenAt = false, e.Clock.Now()
 		e.Log.Info().Err(m.err).Msg("entry registered again")
+		if errors.Is(m.err, plat.ErrNotFound) {
+			e.endLease(m.lease)
+		}
 	case leaseRenewed:
 		e.onLeaseRenewed(m)
 	case claimEnded:
@@ -326,6 +335,13 @@
 
 func (e *Elector) applyLeader(pool string, it plat.Item) {
 	if it.Deleted {
+		l := e.leaders[pool]
+		if l.rev > it.Rev {
+			return // the key has been written again since
+		}
+		if l.entry == e.Name && !e.writePending[pool] {
+			e.former[pool] = true
+		}
 		delete(e.leaders, pool)
 		if t, ok := e.held[pool]; ok && it.Rev > t.Fence {
 			e.lose(pool, "the leader's key was removed")
@@ -337,6 +353,7 @@
 		e.Log.Error().Str("key", it.Key).Err(err).Msg("leader key cannot be decoded")
 	}
 	e.leaders[pool] = leader{v.Entry, v.Lease, it.Rev}
+	delete(e.former, pool)
 }
 
 func (e *Elector) lose(pool, cause string) {
@@ -354,10 +371,13 @@
 		return
 	}
 	e.maintainLease(ctx, now)
-	if !e.synced || e.lease == 0 || now.Sub(e.registeredAt) < claimDelay {
-		return
+	switch {
+	case !e.synced || e.lease == 0:
+	case now.Sub(e.registeredAt) < claimDelay:
+		e.reclaimFormer(ctx)
+	default:
+		e.claimVacant(ctx, now)
 	}
-	e.claimVacant(ctx, now)
 }
 
 // maintainLease requests a lease if there is none, and renews it in time.
@@ -382,7 +402,7 @@
 		e.granting = true
 		id := e.lease
 		go func() {
-			e.send(ctx, registered{e.register(ctx, id)})
+			e.send(ctx, registered{id, e.register(ctx, id)})
 		}()
 	case e.lease != 0 && !e.renewing && now.Sub(e.renewedAt) >= e.TTL/renewalsPerTTL:
 		e.renewing = true
@@ -390,7 +410,7 @@
 		go func() {
 			sent := e.SinceBoot()
 			err := e.Store.Renew(ctx, id)
-			if err != nil {
+			if err != nil && !errors.Is(err, plat.ErrNotFound) {
 				e.pause(ctx)
 			}
 			e.send(ctx, leaseRenewed{id, now, sent, err})
@@ -452,10 +472,24 @@
 		return
 	}
 	if errors.Is(m.err, plat.ErrNotFound) {
-		e.Log.Warn().Int64("lease", m.lease).Msg("lease expired")
-		e.lease = 0
-		for pool := range e.held {
-			e.lose(pool, "lease ended")
+		e.endLease(m.lease)
+	}
+}
+
+// endLease gives up what this entry held under a lease that the store no longer has.
+func (e *Elector) endLease(lease int64) {
+	if lease == 0 || lease != e.lease {
+		return
+	}
+	e.Log.Warn().Int64("lease", lease).Msg("lease expired")
+	e.lease = 0
+	for pool := range e.held {
+		e.lose(pool, "lease ended")
+	}
+	for pool, l := range e.leaders {
+		if l.entry == e.Name && l.lease == lease {
+			delete(e.leaders, pool)
+			e.former[pool] = true
 		}
 	}
 }
