agent, hedge, platform: notice at once that a silent store is back

Callers saw after a store that gave no answers for 6 s (plain, silent, lapse): some entries went on answering hand-ins 504 for up to 2.3 s on Bula and 6 to 7 s on prb (partly for want of hand-ins), 4 to 7 of them used up their last try after the return, and owners were unsure of their election for up to .8 s. Where the store refuses or resets calls, all of that takes .2 s.

Cause: an entry learns of the return by the next call that is answered, and each of its few calls waits 1.2 s for an answer that won't come; a renewal, or an owner's write, that was sent before the return waits as long, since the repeats of package hedge are used up in the silence.

Change: an entry whose store has served no call for a second probes it every 100 ms by a stale read, which costs a tenth of a read. When a call is served after such a time, the writes under way are repeated once each.

More repeats during the silence: a store that is silent for long would be flooded (hedge.TestSlowStoreIsNotFlooded).

Evidence: hedge.TestWriteIsRepeatedWhenStoreReturns failed without the repeat ("outcome of write unknown"), and agent.TestReturnOfSilentStoreIsNoticed without the probes ("outcome of write unknown ... context deadline exceeded"); both hold.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -102,6 +102,7 @@
 		Commit: a.store.Commit, Grant: a.store.Grant, Renew: a.store.Renew, Clock: clock, Timeout: platform.StoreTimeout,
 		Repeats: metrics.NewRegisteredCounter("store.repeats", a.registry),
 	})
+	a.store.OnReturn(unreachableAfter, a.writer.Returned)
 	a.stats = owner.NewStats(a.registry)
 	a.jobAPI = newJobAPI(a)
 	return a
@@ -138,6 +139,7 @@
 	go a.watchOperatorKeys(ctx)
 	go a.pollWorkers(ctx)
 	go a.watchPlan(ctx)
+	go a.probeSilentStore(ctx)
 	go a.serve(callerServer, netutil.LimitListener(callers, a.currentSettings().MaxFiles/callerFilesDivisor))
 	go a.serve(probeServer, ready)
 	a.serveMetrics(ctx)
--- a/agent/jobapi_test.go
+++ b/agent/jobapi_test.go
@@ -32,6 +32,7 @@
 	createdKeys map[string]bool
 	// answersLost is the number of writes that are carried out next without an answer.
 	answersLost atomic.Int32
+	silent      atomic.Bool // the store gives no answers
 }
 
 func newTestAgent(t *testing.T) *testAgent {
@@ -46,6 +47,9 @@
 
 // serve answers conditional writes that create a key; reads find no key.
 func (r *testAgent) serve(w http.ResponseWriter, req *http.Request) {
+	if r.waitSilently(req) {
+		return
+	}
 	if s := int(r.status.Load()); s != 0 {
 		w.WriteHeader(s)
 		return
--- a/hedge/hedge.go
+++ b/hedge/hedge.go
@@ -43,6 +43,8 @@
 	usualTime time.Duration
 	// repeatsLeft is the number of repeats that are allowed before the next answer.
 	repeatsLeft int
+	// returned is closed, and replaced, when the store is back.
+	returned chan struct{}
 }
 
 const (
@@ -64,10 +66,30 @@
 	repeatsPerAnswer = 2
 	// maxRepeats is the largest number of repeats that are allowed without an answer.
 	maxRepeats = 4 * maxCopies
+	// maxReturns is how often a write is repeated at most because the store is back.
+	maxReturns = 2
 )
 
 // New returns a writer.
-func New(p Params) *Writer { return &Writer{Params: p, repeatsLeft: maxRepeats} }
+func New(p Params) *Writer {
+	return &Writer{Params: p, repeatsLeft: maxRepeats, returned: make(chan struct{})}
+}
+
+// Returned repeats the writes under way at once, once each. It is called when the store
+// answers after a time in which it answered nothing: what was sent to it then is lost.
+func (w *Writer) Returned() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	close(w.returned)
+	w.returned = make(chan struct{})
+}
+
+// nextReturn returns a channel that is closed when the store is back the next time.
+func (w *Writer) nextReturn() <-chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.returned
+}
 
 // answer is the answer to one call.
 type answer[T any] struct {
@@ -88,12 +110,13 @@
 func repeat[T any](ctx context.Context, w *Writer, call func(context.Context) (T, error)) (T, int, error) {
 	ctx, cancel := context.WithTimeout(ctx, w.Timeout)
 	defer cancel()
-	answers := make(chan answer[T], maxCopies)
+	answers := make(chan answer[T], maxCopies+maxReturns)
 	send := func() {
 		begun := w.Clock.Now()
 		v, err := call(ctx)
 		answers <- answer[T]{v, err, w.Clock.Since(begun)}
 	}
+	returned, returns := w.nextReturn(), 0
 	go send()
 	sent, pending, refused := 1, 1, false
 	timer := w.Clock.NewTimer(w.overdue())
@@ -114,8 +137,16 @@
 			if pending == 0 {
 				return a.value, sent, failure
 			}
+		case <-returned:
+			returned = w.nextReturn()
+			if returns < maxReturns && !refused {
+				returns++
+				w.Repeats.Inc(1)
+				sent, pending = sent+1, pending+1
+				go send()
+			}
 		case <-timer.C:
-			if sent < maxCopies && !refused {
+			if sent-returns < maxCopies && !refused {
 				if w.takeRepeat() {
 					sent, pending = sent+1, pending+1
 					go send()
--- a/hedge/hedge_test.go
+++ b/hedge/hedge_test.go
@@ -180,3 +180,36 @@
 		require.LessOrEqual(t, callsFor(t, writes, answerTime), writes+writes/10, answerTime)
 	}
 }
+
+// TestWriteIsRepeatedWhenStoreReturns has a silent store, writes that have used up the
+// repeats, and a lease to renew. When the store is back, the renewal must not wait until
+// the calls made before are timed out, as it did on Bula for up to .8 s.
+func TestWriteIsRepeatedWhenStoreReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := fakes.NewKV()
+		w := newWriter(kv)
+		id, err := w.Grant(t.Context(), time.Minute)
+		require.NoError(t, err)
+		var back atomic.Bool
+		kv.InjectFault = func(_, _ string) fakes.CallFault {
+			if back.Load() {
+				return fakes.NoFault
+			}
+			return fakes.DropCall
+		}
+		for i := range 8 {
+			go func() { _, _, _ = w.Commit(t.Context(), write(fmt.Sprint("k", i), "a", 0)) }()
+		}
+		time.Sleep(timeout)
+		calls := kv.Calls()["renew"]
+		begun := time.Now()
+		time.AfterFunc(timeout/4, func() {
+			back.Store(true)
+			w.Returned()
+		})
+		require.NoError(t, w.Renew(t.Context(), id))
+		require.Less(t, time.Since(begun), timeout/2)
+		require.LessOrEqual(t, kv.Calls()["renew"]-calls, 3)
+		time.Sleep(2 * timeout)
+	})
+}
