--- a/fleet/gone_test.go
+++ b/fleet/gone_test.go
@@ -16,6 +16,17 @@
 	f.hidden = name
 }
 
+func (f *fakeFleet) stateOf(name string) hosts.State {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, h := range f.hosts {
+		if h.Name == name {
+			return h.State
+		}
+	}
+	return ""
+}
+
 // LIMIT: the list of hosts lacks one for a moment that is down for a wave. No other one takes
 // its turn.
 func TestMissingHostIsStillDown(t *testing.T) {
@@ -23,7 +34,7 @@
 		f.maxDown = 1
 		go f.runOwner(ctx, 0)
 		f.startController(ctx, "e-1", 0, oneWave(1, "m-0", "m-1"))
-		for state := hosts.Up; state != hosts.Maintenance; state = f.hosts[0].State {
+		for f.stateOf("m-0") != hosts.Maintenance {
 			time.Sleep(100 * time.Millisecond)
 		}
 		f.hide("m-0")
