owner: believe other labels of a worker only if they last

Labels are those of the machine and don't change in an incarnation's life. A registration that has others than before counts only if it goes on for 6 s; until then the worker gets no starts. TestOddLabelLeadsNoStart failed before (2 starts for 0).

--- a/owner/claim.go
+++ b/owner/claim.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"shallotpaddle/hosts"
@@ -48,6 +49,23 @@
 	return w.StartedMs != 0 && h.startedMs != 0 && w.StartedMs != h.startedMs || w.Address != h.worker.Address
 }
 
+// relabelTime is how long a registration must have other labels than before until they count: a
+// worker writes its own entry several times meanwhile, so that the former ones were the error.
+const relabelTime = 6 * time.Second
+
+// relabelled reports whether a registration has other labels than the incarnation has had. They
+// are those of its machine, and don't change in its life.
+func (h *host) relabelled(w hosts.Worker, now time.Time) bool {
+	if !h.answered || h.worker.Labels == nil || slices.Equal(h.worker.Labels, w.Labels) {
+		h.relabelledSince = time.Time{}
+		return false
+	}
+	if h.relabelledSince.IsZero() {
+		h.relabelledSince = now
+	}
+	return now.Sub(h.relabelledSince) < relabelTime
+}
+
 // proven reports whether the incarnation has answered this owner or was known to an earlier
 // one. Nothing can run on one that only a registration has named.
 func (h *host) proven() bool { return h.answered || h.inherited }
--- a/owner/host.go
+++ b/owner/host.go
@@ -30,6 +30,9 @@
 	claim *claim
 	// unreadable tells that the worker is registered, and its registration can't be used.
 	unreadable bool
+	// relabelledSince is when the registration was first read with other labels than before;
+	// zero if it has the same.
+	relabelledSince time.Time
 	// clock is the worker's clock, in milliseconds, as read at clockAt or earlier.
 	clock   int64
 	clockAt time.Time
@@ -216,6 +219,10 @@
 	default:
 		h = nil
 	}
+	if h != nil && h.relabelled(w, now) {
+		h.unreadable = true
+		return
+	}
 	if h == nil {
 		h = newHost(w)
 		h.releaseTask = o.fleetPlan.Release[w.ID]
