owner: treat workers alike if the roster can't be read

Two functions said which workers may have runs, and differed where the stored roster can't be read: registrations that contradict such a worker replaced it, and its losses in a takeover were not announced. One of them is left. Found by reading; no test shows it.

--- a/owner/claim.go
+++ b/owner/claim.go
@@ -66,10 +66,6 @@
 	return now.Sub(h.relabelledSince) < relabelTime
 }
 
-// proven reports whether the incarnation has answered this owner or was known to an earlier
-// one. Nothing can run on one that only a registration has named.
-func (h *host) proven() bool { return h.answered || h.inherited }
-
 // contest notes a registration that contradicts a worker, and asks at its address.
 func (o *Owner) contest(h *host, w hosts.Worker, now time.Time) {
 	if c := h.claim; c != nil && c.sameAs(w) {
@@ -174,7 +170,7 @@
 	if m.leased {
 		o.recordLateOrder(h, m.sent, false) // the next incarnation has taken its lease
 	}
-	if h.proven() {
+	if o.inRoster(h) {
 		h.claim = nil // decided
 		o.replaceIncarnation(h, "another incarnation answers")
 	} else {
--- a/owner/host.go
+++ b/owner/host.go
@@ -213,7 +213,7 @@
 	case h == nil:
 	case !h.contradicts(w):
 		h.claim = nil
-	case h.proven():
+	case o.inRoster(h):
 		o.contest(h, w, now)
 		return
 	default:
@@ -257,7 +257,7 @@
 
 // loseIncarnation removes a worker that has crashed, or was given up.
 func (o *Owner) loseIncarnation(h *host, why string) {
-	if h.inherited && !h.answered && !o.takeoverDone {
+	if o.mayHaveEarlierRuns(h) && !h.answered && !o.takeoverDone {
 		o.missing = append(o.missing, h.rosterEntry())
 	}
 	if h.listed && !o.inRoster(h) {
