--- a/owner/release.go
+++ b/owner/release.go
@@ -6,6 +6,28 @@
 	"shallotpaddle/steps"
 )
 
+// PoolPlan is the part of the fleet plan that concerns one pool.
+type PoolPlan struct {
+	// Release has the workers to empty, with the ID of the plan's task for each.
+	Release map[string]int64
+	// Stop has those of them whose long-running subtasks are to be stopped, because
+	// their hosts are due for maintenance. Hosts with such subtasks don't move.
+	Stop map[string]bool
+	// Due has the workers that will have to be emptied soon for maintenance.
+	Due map[string]bool
+	// Ended has the workers that a move or a maintenance has ended.
+	Ended map[string]bool
+	// Incoming is the number of hosts that are being moved to the pool or returned
+	// to it from maintenance.
+	Incoming int
+	// Rev is the revision of the fleet plan.
+	Rev int64
+}
+
+// SetPlan gives the owner the pool's part of the fleet plan. A plan older than
+// the current one is ignored.
+func (o *Owner) SetPlan(p PoolPlan) { o.post(planChanged{p}) }
+
 // applyFleetPlan applies a revision of the pool's part of the fleet plan.
 func (o *Owner) applyFleetPlan(plan PoolPlan) {
 	if plan.Rev < o.fleetPlan.Rev {
