--- a/owner/claim.go
+++ b/owner/claim.go
@@ -171,7 +171,7 @@
 		o.recordLateOrder(h, m.sent, false) // the next incarnation has taken its lease
 	}
 	if o.inRoster(h) {
-		h.claim = nil // decided
+		h.claim = nil // settled by this answer
 		o.replaceIncarnation(h, "another incarnation answers")
 	} else {
 		delete(o.hosts, h.id)
