endpt: forget the replies of workers that are gone

Cause: counted the replies of each worker's address, for the life of the process. Now the time of the last one is kept, for a minute, which is longer than any control call takes. What counts as busy is the same: a reply after the call began.

TestOldRepliesAreForgotten failed with the pruning taken out; TestCallsThatWaitedAreNoSilence holds.

--- a/endpt/calls.go
+++ b/endpt/calls.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -72,13 +73,13 @@
 func (c *Client) call(ctx context.Context, method, addr, path string, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	w := wait{begun: time.Now(), heard: c.heard.count(addr)}
+	w := wait{begun: time.Now()}
 	err := c.exchange(httptrace.WithClientTrace(ctx, w.trace()), method, addr, path, out)
 	if err == nil || errors.Is(err, ErrNoTask) {
-		c.heard.add(addr)
+		c.heard.add(addr, time.Now())
 		return err
 	}
-	if ctx.Err() != nil && w.forConnection(time.Now()) && c.heard.count(addr) != w.heard {
+	if ctx.Err() != nil && w.forConnection(time.Now()) && c.heard.since(addr, w.begun) {
 		return fmt.Errorf("%w: %w", ErrBusy, err)
 	}
 	return err
@@ -87,7 +88,6 @@
 // wait is the time of one control call.
 type wait struct {
 	begun time.Time
-	heard uint64       // replies of the worker before
 	sent  atomic.Int64 // Unix nanoseconds when it got the connection; 0 before
 }
 
@@ -101,22 +101,33 @@
 	return sent == 0 || now.UnixNano()-sent < int64(now.Sub(w.begun)/2)
 }
 
-// replies counts the workers' replies to control calls.
+// repliesKept is how long a reply is remembered, which is longer than any control call takes.
+const repliesKept = time.Minute
+
+// replies has the time of each worker's last reply to a control call, by address.
 type replies struct {
-	mu     sync.Mutex
-	byAddr map[string]uint64
+	mu       sync.Mutex
+	last     map[string]time.Time
+	prunedAt time.Time
 }
 
-func (r *replies) add(addr string) {
+// add records a reply, and forgets the old ones of others from time to time.
+func (r *replies) add(addr string, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.byAddr[addr]++
+	r.last[addr] = now
+	if now.Sub(r.prunedAt) < repliesKept {
+		return
+	}
+	r.prunedAt = now
+	maps.DeleteFunc(r.last, func(_ string, at time.Time) bool { return now.Sub(at) >= repliesKept })
 }
 
-func (r *replies) count(addr string) uint64 {
+// since reports whether a worker has replied after a time.
+func (r *replies) since(addr string, t time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.byAddr[addr]
+	return r.last[addr].After(t)
 }
 
 func (c *Client) exchange(ctx context.Context, method, addr, path string, out any) error {
--- a/endpt/client.go
+++ b/endpt/client.go
@@ -102,7 +102,7 @@
 // dispatched the first time, and reservedConns more.
 func New(conns int) *Client {
 	c := &Client{tasks: newLimitedClient(conns), repeats: newLimitedClient(repeatConns), control: newLimitedClient(controlConns)}
-	c.heard.byAddr = map[string]uint64{}
+	c.heard.last = map[string]time.Time{}
 	c.repeats.transport().DisableKeepAlives = true
 	return c
 }
