--- a/elect/endedleases_test.go
+++ b/elect/endedleases_test.go
@@ -12,8 +12,8 @@
 	"shallotpaddle/plat"
 )
 
-// TestLeadersReturnWhenLeasesEnd ends the leases of all entries, as the store does that was
-// away for 6 s on Bula. Pools had no owner for most of a second, and others' owners then.
+// TestLeadersReturnWhenLeasesEnd ends the leases of all entries, as a store may that was away.
+// Pools had no owner for most of a second, and others' owners then.
 func TestLeadersReturnWhenLeasesEnd(t *testing.T) {
 	run(t, func(ctx context.Context, t *testing.T, el *election, pools []string) {
 		var mu sync.Mutex
--- a/hedge/hedge_test.go
+++ b/hedge/hedge_test.go
@@ -183,7 +183,7 @@
 
 // TestWriteIsRepeatedWhenStoreReturns has a silent store, writes that have used up the
 // repeats, and a lease to renew. When the store is back, the renewal must not wait until
-// the calls made before are timed out, as it did on Bula for up to .8 s.
+// the calls made before are timed out.
 func TestWriteIsRepeatedWhenStoreReturns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		kv := fakes.NewKV()
