--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -19,24 +19,35 @@
 	"shallotpaddle/hosts"
 )
 
-// Names of the one queue and its pool.
-const (
-	Pool        = "kana"
-	queueHost   = "pule25.example"
-	queuePrefix = "/puxa400/"
-)
+// Pool is the name of the first pool.
+const Pool = "kana"
+
+// pools are the names of the pools; a deployment has the first ones.
+var pools = []string{Pool, "itaba", "moce"}
+
+// queueHost is the host name of all queues.
+const queueHost = "pule25.example"
+
+// queuePrefix returns the path of the queue of a pool.
+func queuePrefix(pool int) string { return fmt.Sprintf("/puxa%d/", 400+pool) }
+
+// Options describe a deployment.
+type Options struct {
+	Entries int
+	Pools   int // 0 stands for 1
+	Workers int // of each pool
+	Advice  *Advice
+}
 
 // Bounds of the deployment, which its settings state.
 const (
-	Contact = 3 * time.Second // until a machine is in touch after a disturbance
-	// ConfigApply is the longest time from the acknowledgement of a configuration until it is in force.
-	ConfigApply = 2 * time.Second
-	Cancel      = 3 * time.Second // from the acknowledgement of a cancellation to the last start
-	StopTime    = 200 * time.Millisecond
-	GangWait    = 3 * time.Second
-	maxLease    = 10 * time.Second
-	beat        = 1500 * time.Millisecond // of workers
-	silent      = 3 * beat                // until a worker's entry is removed
+	Contact  = 3 * time.Second // until a machine is in touch after a disturbance
+	Cancel   = 3 * time.Second // from the acknowledgement of a cancellation to the last start
+	StopTime = 200 * time.Millisecond
+	GangWait = 3 * time.Second
+	maxLease = 10 * time.Second
+	beat     = 1500 * time.Millisecond // of workers
+	silent   = 3 * beat                // until a worker's entry is removed
 )
 
 // Entry is one process of the program.
@@ -45,10 +56,12 @@
 	callers string // IP:port
 	ready   string
 	gate    *gate
-	// channels are the entry's connections to the store.
-	channels *channels
-	cmd      *exec.Cmd
-	done     chan struct{} // closed when the process has ended
+	args    []string
+	env     []string
+	log     string // path of the file with its output
+	cmd     *exec.Cmd
+	done    chan struct{} // closed when the process has ended
+	killed  bool          // by Kill, and not started again
 }
 
 // Bed is a deployment.
@@ -59,65 +72,69 @@
 	Entries []*Entry
 
 	store   http.Handler
+	options Options
 	client  *http.Client
 	dir     string
+	fleet   string // address of the platform's list of machines
 	servers []*http.Server
 	ended   bool // Close has been called
 }
 
-// New starts a deployment of entries and workers. Its settings and logs are in a temporary folder.
-func New(rec *Record, entries, workers int) (*Bed, error) {
+// New starts a deployment. Its settings and logs are in a temporary folder.
+func New(rec *Record, o Options) (*Bed, error) {
+	o.Pools = max(o.Pools, 1)
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
 		return nil, err
 	}
 	kv := fakes.NewKV()
-	b := &Bed{Rec: rec, KV: kv, dir: dir, client: &http.Client{Timeout: clientTimeout + time.Second}}
+	b := &Bed{Rec: rec, KV: kv, dir: dir, options: o, client: &http.Client{Timeout: clientTimeout + time.Second}}
 	b.store = site.New(kv, fakes.NewWorkerSet(maxLease), site.Machines{}, site.Twists{}).StoreHandler()
 	b.Workers = newWorkers(rec, kv)
-	kv.Put("op/config", config(firstVersion, queuePrefix))
-	for i := range workers {
-		if err := b.Workers.add(i); err != nil {
+	b.Workers.advice = o.Advice
+	kv.Put("op/config", b.config())
+	for i := range o.Pools * o.Workers {
+		if err := b.Workers.add(i, pools[i/o.Workers]); err != nil {
 			return b, err
 		}
 	}
-	fleet, err := b.serve(http.HandlerFunc(b.Workers.listMachines))
-	if err != nil {
+	if b.fleet, err = b.serve(http.HandlerFunc(b.Workers.listMachines)); err != nil {
 		return b, err
 	}
-	for i := range entries {
-		if err := b.startEntry(i, fleet); err != nil {
+	release := []func() error{}
+	for i := range o.Entries {
+		r, err := b.prepareEntry(i)
+		if err != nil {
+			return b, err
+		}
+		release = append(release, r)
+	}
+	for i, e := range b.Entries {
+		if err := errors.Join(release[i](), b.startProcess(e)); err != nil {
 			return b, err
 		}
 	}
 	return b, b.awaitReady()
 }
 
-// firstVersion is the number of the first configuration.
-const firstVersion = 3
-
-// config returns a configuration with a route for each prefix.
-func config(version int, prefixes ...string) []byte {
-	var routes []any
-	for i, p := range prefixes {
-		routes = append(routes, map[string]any{
-			"Name": fmt.Sprintf("meal-log-%d", i), "Host": queueHost, "Prefix": p, "Service": Pool, "Priority": 0, "MaxAttempts": 4,
+// config returns the configuration, with a route for each pool.
+func (b *Bed) config() []byte {
+	var routes, services []any
+	for i := range b.options.Pools {
+		r := map[string]any{
+			"Name": "r-" + pools[i], "Host": queueHost, "Prefix": queuePrefix(i), "Service": pools[i], "Priority": 0, "MaxAttempts": 4,
 			"SlackFactor": 3, "TargetDurationMs": 600,
-		})
+		}
+		if a := b.options.Advice; a != nil {
+			r["Advisor"] = map[string]any{"DecisionMs": a.Decision.Milliseconds(), "PeriodMs": a.Period.Milliseconds(), "ValidMs": a.Valid.Milliseconds()}
+		}
+		routes = append(routes, r)
+		services = append(services, map[string]any{"Name": pools[i], "AdmissionCheck": false})
 	}
-	b, _ := json.Marshal(map[string]any{ // encoding plain values can't fail
-		"Version": version, "Routes": routes,
-		"Services": []any{map[string]any{"Name": Pool, "AdmissionCheck": false}},
-		"Limits":   map[string]any{"MaxBodyBytes": 262144},
+	text, _ := json.Marshal(map[string]any{ // encoding plain values can't fail
+		"Version": 3, "Routes": routes, "Services": services, "Limits": map[string]any{"MaxBodyBytes": 262144},
 	})
-	return b
-}
-
-// AddRoute writes a configuration with one more route, and returns when it was acknowledged.
-func (b *Bed) AddRoute(prefix string) time.Time {
-	rev := b.KV.Put("op/config", config(firstVersion+4, queuePrefix, prefix))
-	b.Rec.Add("operator: configuration %d with a route for %s, acknowledged at revision %d", firstVersion+4, prefix, rev)
-	return time.Now()
+	return text
 }
 
 // serve serves a handler on a free loopback port.
@@ -126,43 +143,52 @@
 	if err != nil {
 		return "", err
 	}
-	b.serveOn(l, h)
-	return l.Addr().String(), nil
-}
-
-func (b *Bed) serveOn(l net.Listener, h http.Handler) {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
 	b.servers = append(b.servers, s)
 	go func() { _ = s.Serve(l) }() // ends with Close
+	return l.Addr().String(), nil
 }
 
-// freeAddress returns a loopback address whose port is free.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// reserve returns n loopback addresses whose ports are free, and kept so until release is called.
+func reserve(n int) (addresses []string, release func() error, err error) {
+	var held []net.Listener
+	release = func() error {
+		var errs []error
+		for _, l := range held {
+			errs = append(errs, l.Close())
+		}
+		return errors.Join(errs...)
 	}
-	return l.Addr().String(), l.Close()
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, nil, errors.Join(err, release())
+		}
+		held = append(held, l)
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses, release, nil
 }
 
 // program is the program as the deploy file builds it.
 const program = "target/shallotpaddle"
 
-func (b *Bed) startEntry(i int, fleet string) error {
+// prepareEntry makes all that an entry needs but its process. release frees the ports that the process
+// is to listen on.
+func (b *Bed) prepareEntry(i int) (release func() error, err error) {
 	e := &Entry{Name: fmt.Sprintf("edge-suva-%d", i+1), done: make(chan struct{})}
 	e.gate = &gate{bed: b, entry: e.Name}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	store, err := b.serve(e.gate)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	e.channels = &channels{Listener: l}
-	b.serveOn(e.channels, e.gate)
-	store := l.Addr().String()
-	var free [4]string
-	for k := range free {
-		if free[k], err = freeAddress(); err != nil {
-			return err
-		}
+	advisor, err := b.serve(&advisor{bed: b, entry: e.Name})
+	if err != nil {
+		return nil, err
+	}
+	free, release, err := reserve(3)
+	if err != nil {
+		return nil, err
 	}
 	e.callers, e.ready = free[0], free[1]
 	lines := []string{
@@ -173,33 +199,51 @@
 		"Bounds.HoldMaxMs=10000", "Bounds.StopMs=200", "Bounds.GangMs=3000", "Bounds.cancel_ms=3000", "Bounds.visible_ms=3000",
 		"Bounds.status_s=120", "Bounds.RemoteFactor=1.5", "Bounds.CheckpointIntervalS=0.5", "Bounds.RestoreMs=100", "Bounds.NoticeMs=4500",
 		"Bounds.MigrationS=1.5", "Bounds.MaintenanceS=2", "Bounds.FencingEnforced=true", "Bounds.LeaseMs=3000",
-		"Orders=request", "Advisor=" + free[3], "platform.Address=" + store, "platform.form=kv", "platform.WritesPerS=400", "platform.ReadsPerS=2000",
-		"platform.HistoryS=20", "platform.ValueBytes=1048576", "platform.MinTtlMs=1000", "Cloud.Address=" + fleet,
+		"Orders=request", "Advisor=" + advisor, "platform.Address=" + store, "platform.form=kv", "platform.WritesPerS=400", "platform.ReadsPerS=2000",
+		"platform.HistoryS=20", "platform.ValueBytes=1048576", "platform.MinTtlMs=1000", "Cloud.Address=" + b.fleet,
 	}
 	file := filepath.Join(b.dir, e.Name+".conf")
 	if err := os.WriteFile(file, []byte(strings.Join(lines, "\n")+"\n"), 0o600); err != nil {
-		return err
+		return nil, errors.Join(err, release())
 	}
-	out, err := os.Create(filepath.Join(b.dir, e.Name+".log"))
+	e.args = []string{"node", "-metrics", free[2]}
+	e.env = []string{"SHALLOTPADDLE_SETTINGS=" + file, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
+	e.log = filepath.Join(b.dir, e.Name+".log")
+	b.Entries = append(b.Entries, e)
+	return release, nil
+}
+
+func (b *Bed) startProcess(e *Entry) error {
+	out, err := os.OpenFile(e.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
 	defer out.Close()
-	e.cmd = exec.Command(program, "node", "-metrics", free[2])
-	e.cmd.Env = []string{"SHALLOTPADDLE_SETTINGS=" + file, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
-	e.cmd.Stdout, e.cmd.Stderr = out, out
+	e.cmd, e.done, e.killed = exec.Command(program, e.args...), make(chan struct{}), false
+	e.cmd.Env, e.cmd.Stdout, e.cmd.Stderr = e.env, out, out
 	if err := e.cmd.Start(); err != nil {
 		return err
 	}
-	b.Entries = append(b.Entries, e)
-	b.Rec.Add("started %s: %s node -metrics %s", e.Name, program, free[2])
-	go func() {
-		_ = e.cmd.Wait() // the exit code says the same
-		close(e.done)
-	}()
+	b.Rec.Add("started %s: %s %s", e.Name, program, strings.Join(e.args, " "))
+	go func(c *exec.Cmd, done chan struct{}) {
+		_ = c.Wait() // the exit code says the same
+		close(done)
+	}(e.cmd, e.done)
 	return nil
 }
 
+// Kill kills the process of an entry.
+func (b *Bed) Kill(entry int) {
+	e := b.Entries[entry]
+	e.killed = true
+	_ = e.cmd.Process.Signal(syscall.SIGKILL) // it may have ended
+	<-e.done
+	b.Rec.Add("trouble: %s is killed", e.Name)
+}
+
+// StartAgain starts an entry that was killed.
+func (b *Bed) StartAgain(entry int) error { return b.startProcess(b.Entries[entry]) }
+
 // readyTimeout is how long the entries may take to be ready.
 const readyTimeout = 15 * time.Second
 
@@ -208,14 +252,27 @@
 // awaitReady waits until all entries are ready and the pool has a leader.
 func (b *Bed) awaitReady() error {
 	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		if b.allReady() && b.Leader() >= 0 {
-			b.Rec.Add("all entries are ready; %s leads the pool", b.Entries[b.Leader()].Name)
+		if b.allReady() && b.allLed() {
 			return nil
 		}
 	}
 	return errNotReady
 }
 
+// allLed tells whether each pool has a leader, and adds the leaders to the record then.
+func (b *Bed) allLed() bool {
+	var leaders []string
+	for i := range b.options.Pools {
+		l := b.LeaderOf(i)
+		if l < 0 {
+			return false
+		}
+		leaders = append(leaders, pools[i]+" by "+b.Entries[l].Name)
+	}
+	b.Rec.Add("all entries are ready; the pools are led: %s", strings.Join(leaders, ", "))
+	return true
+}
+
 func (b *Bed) allReady() bool {
 	for _, e := range b.Entries {
 		res, err := b.client.Get("http://" + e.ready + "/-/readyz")
@@ -230,9 +287,12 @@
 	return true
 }
 
-// Leader returns the entry that leads the pool, -1 if there is none.
-func (b *Bed) Leader() int {
-	it, _ := b.KV.Peek("seat/lead/" + Pool)
+// Leader returns the entry that leads the first pool, -1 if there is none.
+func (b *Bed) Leader() int { return b.LeaderOf(0) }
+
+// LeaderOf returns the entry that leads a pool, -1 if there is none.
+func (b *Bed) LeaderOf(pool int) int {
+	it, _ := b.KV.Peek("seat/lead/" + pools[pool])
 	for i, e := range b.Entries {
 		if strings.Contains(string(it.Value), `"`+e.Name+`"`) {
 			return i
@@ -252,9 +312,12 @@
 	return -1
 }
 
-// EntriesUp tells whether no process has ended.
+// EntriesUp tells whether no process has ended by itself.
 func (b *Bed) EntriesUp() bool {
 	for _, e := range b.Entries {
+		if e.killed {
+			continue
+		}
 		select {
 		case <-e.done:
 			return false
@@ -271,8 +334,10 @@
 	}
 	b.ended = true
 	for _, e := range b.Entries {
-		_ = e.cmd.Process.Signal(syscall.SIGKILL) // it may have ended
-		<-e.done
+		if e.cmd != nil && e.cmd.Process != nil {
+			_ = e.cmd.Process.Signal(syscall.SIGKILL) // it may have ended
+			<-e.done
+		}
 	}
 	b.Workers.close()
 	for _, s := range b.servers {
--- a/review/bed/client.go
+++ b/review/bed/client.go
@@ -27,6 +27,7 @@
 // Job is a job as a client hands it in.
 type Job struct {
 	ID    string `json:"-"`
+	Pool  int    `json:"-"`
 	Spec  string
 	Steps []Step
 }
@@ -48,22 +49,22 @@
 		return Answer{At: time.Now()}
 	}
 	b.Workers.AddJob(j)
-	return b.call(entry, http.MethodPost, queuePrefix+j.ID, body)
+	return b.call(entry, http.MethodPost, queuePrefix(j.Pool)+j.ID, body)
 }
 
-// State asks an entry for the state of a job.
-func (b *Bed) State(entry int, id string) Answer {
-	return b.call(entry, http.MethodGet, queuePrefix+id, nil)
+// State asks an entry for the state of a job of the first pool.
+func (b *Bed) State(entry int, id string) Answer { return b.StateIn(entry, 0, id) }
+
+// StateIn asks an entry for the state of a job of a pool.
+func (b *Bed) StateIn(entry, pool int, id string) Answer {
+	return b.call(entry, http.MethodGet, queuePrefix(pool)+id, nil)
 }
 
-// Cancel cancels a job at an entry.
+// Cancel cancels a job of the first pool at an entry.
 func (b *Bed) Cancel(entry int, id string) Answer {
-	return b.call(entry, http.MethodDelete, queuePrefix+id, nil)
+	return b.call(entry, http.MethodDelete, queuePrefix(0)+id, nil)
 }
 
-// Get asks an entry for what is at a path.
-func (b *Bed) Get(entry int, path string) Answer { return b.call(entry, http.MethodGet, path, nil) }
-
 func (b *Bed) call(entry int, method, path string, body []byte) Answer {
 	a := b.request(entry, method, path, body)
 	a.At = time.Now()
--- a/review/bed/run.go
+++ b/review/bed/run.go
@@ -21,11 +21,11 @@
 
 // Run runs a case in its folder, the program's only argument, and exits. play returns what broke
 // the rule, "" if it held. With TROUBLE=0 in the environment, trouble is false.
-func Run(entries, workers int, play func(b *Bed, trouble bool) (string, error)) {
-	os.Exit(run(entries, workers, play))
+func Run(o Options, play func(b *Bed, trouble bool) (string, error)) {
+	os.Exit(run(o, play))
 }
 
-func run(entries, workers int, play func(b *Bed, trouble bool) (string, error)) int {
+func run(o Options, play func(b *Bed, trouble bool) (string, error)) int {
 	if len(os.Args) != 2 {
 		fmt.Fprintln(os.Stderr, "usage:", os.Args[0], "FOLDER")
 		return exitNotRun
@@ -38,7 +38,7 @@
 	defer rec.Close()
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.Add("begin, with trouble: %t", trouble)
-	b, err := New(rec, entries, workers)
+	b, err := New(rec, o)
 	if b != nil {
 		defer func() { b.Close(os.Getenv("KEEP") != "") }()
 	}
--- a/review/bed/worker.go
+++ b/review/bed/worker.go
@@ -43,6 +43,8 @@
 	ends     []End
 	sequence int
 	stop     chan struct{}
+	advice   *Advice
+	tickets  map[string]ticket
 }
 
 // Start is a run that a worker has begun.
@@ -64,18 +66,18 @@
 
 // worker is a worker and its present incarnation.
 type worker struct {
-	id, address string
-	kind, rack  string
-	server      *http.Server // nil while it is down
-	cut         bool         // neither entries nor the store reach it
-	born        time.Time
-	fence       int64
-	leaseUntil  int64 // in milliseconds of its clock
-	active      map[runs.Task]*activeRun
-	highest     map[runs.Task]int // highest run that ended or was stopped
-	ended       []endRow
-	lastEnd     int64
-	lastBeat    time.Time
+	id, pool, address string
+	kind, rack        string
+	server            *http.Server // nil while it is down
+	cut               bool         // neither entries nor the store reach it
+	born              time.Time
+	fence             int64
+	leaseUntil        int64 // in milliseconds of its clock
+	active            map[runs.Task]*activeRun
+	highest           map[runs.Task]int // highest run that ended or was stopped
+	ended             []endRow
+	lastEnd           int64
+	lastBeat          time.Time
 }
 
 type endRow struct {
@@ -97,7 +99,7 @@
 }
 
 func newWorkers(rec *Record, kv *fakes.KV) *Workers {
-	ws := &Workers{rec: rec, kv: kv, jobs: map[string]*Job{}, stop: make(chan struct{})}
+	ws := &Workers{rec: rec, kv: kv, jobs: map[string]*Job{}, tickets: map[string]ticket{}, stop: make(chan struct{})}
 	go ws.loop()
 	return ws
 }
@@ -109,10 +111,10 @@
 	ws.jobs[j.ID] = j
 }
 
-func (ws *Workers) add(i int) error {
+func (ws *Workers) add(i int, pool string) error {
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
-	w := &worker{id: fmt.Sprintf("i-%08x", 0x7f3a91c2+i), kind: CommonKind, rack: fmt.Sprintf("r1-%d", i/4+1)}
+	w := &worker{id: fmt.Sprintf("i-%08x", 0x7f3a91c2+i), pool: pool, kind: CommonKind, rack: fmt.Sprintf("r1-%d", i/4+1)}
 	if i == 0 {
 		w.kind = RareKind
 	}
@@ -237,7 +239,7 @@
 	ws.sequence++
 	w.lastBeat = time.Now()
 	b, _ := json.Marshal(map[string]any{ // encoding plain values can't fail
-		"Service": Pool, "Address": w.address, "Zone": "suva", "Version": "v1", "Slots": 8, "State": "ready", "ColdRemainingMs": 0,
+		"Service": w.pool, "Address": w.address, "Zone": "suva", "Version": "v1", "Slots": 8, "State": "ready", "ColdRemainingMs": 0,
 		"Capacity": room(), "Labels": []string{w.kind, w.rack}, "Machine": "m-" + w.id, "ClockMs": w.clock(), "Sequence": ws.sequence,
 		"born": w.born.UnixMilli(),
 	})
@@ -263,7 +265,7 @@
 			state = "down"
 		}
 		list = append(list, map[string]any{
-			"Machine": "m-" + v.id, "Pool": Pool, "State": state, "Zone": "suva", "Labels": []string{v.kind, v.rack}, "Capacity": room(), "Id": v.id,
+			"Machine": "m-" + v.id, "Pool": v.pool, "State": state, "Zone": "suva", "Labels": []string{v.kind, v.rack}, "Capacity": room(), "Id": v.id,
 		})
 	}
 	reply(w, http.StatusOK, map[string]any{"Machines": list, "NextPageToken": ""})
@@ -475,9 +477,9 @@
 
 // order has the fields of all calls that name a run.
 type order struct {
-	Task, Spec, Checkpoint string
-	Run                    int
-	UntilMs, FencingToken  int64
+	Task, Spec, Checkpoint, Ticket string
+	Run                            int
+	UntilMs, FencingToken          int64
 }
 
 // order carries out a call that names a run; do returns the reason of a refusal.
@@ -531,6 +533,9 @@
 		return "old"
 	}
 	now := time.Now()
+	if ws.advice != nil && !ws.validTicket(w, o.Ticket, t.ParentStep(), now) {
+		return "ticket"
+	}
 	a := &activeRun{run: o.Run, step: &j.Steps[t.Step], startedAt: now, carried: o.Checkpoint, saved: o.Checkpoint, worked: workedUntil(o.Checkpoint)}
 	if o.Checkpoint != "" {
 		a.restoreEnd = now.Add(restoreTime)
