--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -25,6 +25,9 @@
 // pools are the names of the pools; a deployment has the first ones.
 var pools = []string{Pool, "itaba", "moce"}
 
+// PoolName returns the name of a pool.
+func PoolName(pool int) string { return pools[pool] }
+
 // queueHost is the host name of all queues.
 const queueHost = "pule25.example"
 
@@ -245,7 +248,7 @@
 func (b *Bed) StartAgain(entry int) error { return b.startProcess(b.Entries[entry]) }
 
 // readyTimeout is how long the entries may take to be ready.
-const readyTimeout = 15 * time.Second
+const readyTimeout = 10 * time.Second
 
 var errNotReady = errors.New("the entries did not become ready, or have no leader")
 
--- a/review/bed/run.go
+++ b/review/bed/run.go
@@ -38,13 +38,11 @@
 	defer rec.Close()
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.Add("begin, with trouble: %t", trouble)
-	b, err := New(rec, o)
-	if b != nil {
-		defer func() { b.Close(os.Getenv("KEEP") != "") }()
-	}
+	b, err := start(rec, o)
 	if err != nil {
 		return notRun(rec, err)
 	}
+	defer func() { b.Close(os.Getenv("KEEP") != "") }()
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	type result struct {
@@ -76,6 +74,22 @@
 	return exitHeld
 }
 
+// maxStarts is how often a deployment is started at most: another process may have taken one of its ports.
+const maxStarts = 3
+
+func start(rec *Record, o Options) (b *Bed, err error) {
+	for range maxStarts {
+		if b, err = New(rec, o); err == nil {
+			return b, nil
+		}
+		rec.Add("start failed: %s", err)
+		if b != nil {
+			b.Close(os.Getenv("KEEP") != "")
+		}
+	}
+	return nil, err
+}
+
 func broken(rec *Record, what string) int {
 	rec.Add("result: the rule is broken: %s", what)
 	fmt.Println("the rule is broken:", what)
