--- a/review/1/main.go
+++ b/review/1/main.go
@@ -1,4 +1,4 @@
-// Case 1: one worker is cut off once, for 5.5 seconds, and runs on. The owner never acknowledges
+// Case 1: one worker is cut off once, for 5 seconds, and runs on. The owner never acknowledges
 // the ends that it could not read meanwhile, nor any later end of that worker, and after 300 of
 // them it gives the worker no more work: jobs that need a worker of that kind wait forever.
 package main
@@ -17,12 +17,14 @@
 	workers = 6
 	victim  = 0 // the only worker of the rare kind
 
-	settle  = 5 * time.Second
-	cutFor  = 5500 * time.Millisecond
-	handIn  = 200 * time.Millisecond // between two jobs of each kind
-	traffic = 45 * time.Second       // from the end of the disturbance
-	finish  = 14 * time.Second       // from the end of the traffic until jobs must be done
-	stalled = 3 * time.Second        // for which a job has nothing running
+	settle = 5 * time.Second
+	cutFor = 5 * time.Second
+	// The worker's entry is removed within the cut if the last one was written that long before it.
+	sinceBeat = 700 * time.Millisecond
+	handIn    = 200 * time.Millisecond // between two jobs of each kind
+	traffic   = 25 * time.Second       // from the end of the disturbance
+	finish    = 14 * time.Second       // from the end of the traffic until jobs must be done
+	stalled   = 3 * time.Second        // for which a job has nothing running
 )
 
 func main() { bed.Run(bed.Options{Entries: entries, Workers: workers}, play) }
@@ -30,6 +32,9 @@
 func play(b *bed.Bed, trouble bool) (string, error) {
 	common, rare := newLoad(b, bed.CommonKind, 0x3fa0c6d100000000), newLoad(b, bed.RareKind, 0x71e5b29000000000)
 	time.Sleep(settle)
+	for b.Workers.SinceBeat(victim) < sinceBeat {
+		time.Sleep(10 * time.Millisecond)
+	}
 	if trouble {
 		b.Workers.Cut(victim, true)
 	}
--- a/review/bed/worker.go
+++ b/review/bed/worker.go
@@ -176,6 +176,13 @@
 	ws.rec.Add("trouble: worker %s is cut off: %t; %d runs there", w.id, cut, len(w.active))
 }
 
+// SinceBeat returns the time since a worker last wrote its entry.
+func (ws *Workers) SinceBeat(i int) time.Duration {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	return time.Since(ws.list[i].lastBeat)
+}
+
 // Active returns the number of active runs on a worker, and on all of them.
 func (ws *Workers) Active(i int) (there, all int) {
 	ws.mu.Lock()
@@ -390,9 +397,22 @@
 	}
 }
 
-// checkGangs ends the members of gangs that have lost one, and lets those begin that are
-// complete: all members of a run are present, and carry the same checkpoint. ws.mu is held.
-func (ws *Workers) checkGangs(of runs.Task, run int) {
+// agrees tells whether a start carries the same checkpoint as the members of its gang's run that are
+// present, as all of them must; ws.mu is held.
+func (ws *Workers) agrees(o *order, of runs.Task) bool {
+	for _, w := range ws.list {
+		for t, a := range w.active {
+			if t.ParentStep() == of.ParentStep() && a.run == o.Run && a.carried != o.Checkpoint {
+				ws.rec.Add("gang %s run %d: its members are sent different checkpoints: %q and %q", of.ParentStep(), o.Run, a.carried, o.Checkpoint)
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// checkGang lets a gang begin if all members of a run are present; ws.mu is held.
+func (ws *Workers) checkGang(of runs.Task, run int) {
 	var members []*activeRun
 	for _, w := range ws.list {
 		for t, a := range w.active {
@@ -404,12 +424,6 @@
 	if len(members) == 0 || len(members) < members[0].step.Count {
 		return
 	}
-	for _, a := range members {
-		if a.carried != members[0].carried {
-			ws.rec.Add("gang %s run %d: its members carry different checkpoints: %q and %q", of.ParentStep(), run, members[0].carried, a.carried)
-			return
-		}
-	}
 	for _, a := range members {
 		a.complete = true
 		a.restoreEnd = time.Now().Add(restoreTime)
@@ -500,19 +514,29 @@
 	body := map[string]any{"ClockMs": w.clock(), "born": w.born.UnixMilli()}
 	ws.mu.Unlock()
 	ws.rec.Add("worker %s: %s %s run %d fence %d -> %s", w.id, r.URL.Path, o.Task, o.Run, o.FencingToken, result(reason))
-	if reason == "" {
+	switch reason {
+	case "":
 		reply(rw, http.StatusOK, body)
-		return
+	case invalid:
+		reply(rw, http.StatusBadRequest, body)
+	default:
+		body["Reason"] = reason
+		reply(rw, http.StatusConflict, body)
 	}
-	body["Reason"] = reason
-	reply(rw, http.StatusConflict, body)
 }
 
+// invalid stands for an order that is answered 400.
+const invalid = "invalid"
+
 func result(reason string) string {
-	if reason == "" {
+	switch reason {
+	case "":
 		return "200"
+	case invalid:
+		return "400"
+	default:
+		return "409 " + reason
 	}
-	return "409 " + reason
 }
 
 // start starts a run; ws.mu is held.
@@ -532,6 +556,9 @@
 		ws.rec.Add("worker %s: %s was never handed in", w.id, t)
 		return "old"
 	}
+	if j.Steps[t.Step].Gang && !ws.agrees(o, t) {
+		return invalid
+	}
 	now := time.Now()
 	if ws.advice != nil && !ws.validTicket(w, o.Ticket, t.ParentStep(), now) {
 		return "ticket"
@@ -544,7 +571,7 @@
 	ws.starts = append(ws.starts, Start{t, o.Run, w.id, o.Checkpoint, now})
 	ws.rec.Add("worker %s: %s run %d begins, checkpoint %q", w.id, t, o.Run, o.Checkpoint)
 	if a.step.Gang {
-		ws.checkGangs(t, o.Run)
+		ws.checkGang(t, o.Run)
 	}
 	return ""
 }
