--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"syscall"
 	"time"
@@ -216,6 +217,19 @@
 	return release, nil
 }
 
+// starts receives what starts a process. It runs on one thread that lasts as long as this program: the kernel
+// kills the processes when that thread ends, however this program ends.
+var starts = make(chan func())
+
+func init() {
+	go func() {
+		runtime.LockOSThread()
+		for f := range starts {
+			f()
+		}
+	}()
+}
+
 func (b *Bed) startProcess(e *Entry) error {
 	out, err := os.OpenFile(e.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
@@ -224,7 +238,10 @@
 	defer out.Close()
 	e.cmd, e.done, e.killed = exec.Command(program, e.args...), make(chan struct{}), false
 	e.cmd.Env, e.cmd.Stdout, e.cmd.Stderr = e.env, out, out
-	if err := e.cmd.Start(); err != nil {
+	e.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started := make(chan error)
+	starts <- func() { started <- e.cmd.Start() }
+	if err := <-started; err != nil {
 		return err
 	}
 	b.Rec.Add("started %s: %s %s", e.Name, program, strings.Join(e.args, " "))
--- a/review/bed/run.go
+++ b/review/bed/run.go
@@ -38,13 +38,13 @@
 	defer rec.Close()
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.Add("begin, with trouble: %t", trouble)
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	b, err := start(rec, o)
 	if err != nil {
 		return notRun(rec, err)
 	}
 	defer func() { b.Close(os.Getenv("KEEP") != "") }()
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	type result struct {
 		broken string
 		err    error
