owner: acknowledge withheld ends once the worker's lease has lapsed

Callers saw accepted jobs that need a worker which had been cut off once, for 5 s, wait forever, while that worker was up and idle.

Cause: the end of a superseded run must not be acknowledged, as both runs would count (TWICE), and an acknowledgement covers all earlier ends. So no later end of that worker was acknowledged either, for its whole life: 300 ends later it got no starts. Nothing ended that state, a takeover neither: the next owner withheld the same ends, as the voided runs are in the jobs' records.

Now a lapse is recorded from everything that shows one: an end listed as lapsed; the worker's clock beyond the end of every lease that anybody can have given; a worker that answers after it was given up because its lease was over, also by an earlier owner, which stores that in the roster until the worker gets work again; an inherited worker that first answers after that time. The ends before it are acknowledged. A run that ended as done before a lapse still saves the one that replaced it; one that failed does not use up an attempt.

Where nothing shows a lapse, the worker rests: it gets no starts from 150 unacknowledged ends on if no other rests, from 300 in any case, what lasts there moves to another worker within the step's MaxUnavailable, and the lease of an idle worker lapses by itself. The limit now counts all unacknowledged ends, also those that wait for the store: a worker lists 500, and a run whose end is not listed would have counted as vanished and started again.

Ruled out: letting the lease lapse at once kills what runs there; not voiding runs whose worker is unreachable makes their jobs wait for its return.

--- a/owner/host.go
+++ b/owner/host.go
@@ -47,10 +47,16 @@
 	lastEnd, acked, ackable int64
 	// unacked has the ends handled but not yet acknowledgeable, in order of number.
 	unacked []pendingAck
-	// firstWithheld is the first end that is never acknowledged to this incarnation,
-	// 0 if there is none, and withheld the number of ends from it on.
-	firstWithheld int64
-	withheld      int
+	// lapsedThrough is the highest end after which the lease is known to have lapsed: to
+	// acknowledge it or an earlier one does not make its run count.
+	lapsedThrough int64
+	// withheld is the number of ends in unacked that are withheld.
+	withheld int
+	// resting tells that the worker gets no starts until its lease lapses, so that withheld
+	// ends can be acknowledged.
+	resting bool
+	// idle tells that the last report listed no active run, and not all ends.
+	idle bool
 	// awaitsStarts is true while starts without an answer may still be carried out: the
 	// worker is polled, so that a restart is noticed before they are.
 	awaitsStarts bool
@@ -124,9 +130,6 @@
 	// pollGapWithheld is the pause while the worker lists ends that are not
 	// acknowledged: it answers each poll at once.
 	pollGapWithheld = 150 * time.Millisecond
-	// maxWithheld is the number of withheld ends from which a worker gets no new
-	// work: it lists at most 500 ends in a report.
-	maxWithheld = 300
 	// unreachableGrace is how long after the end of its lease a registered worker may
 	// still answer before subtasks that may have finished there start again. Network
 	// partitions heal, and an entry short of CPU lags by about as much.
@@ -161,7 +164,7 @@
 // usable reports whether the worker may get new work. storedRoster is the version
 // of the roster that is stored.
 func (h *host) usable(now time.Time, storedRoster int) bool {
-	return h.listed && h.answered && h.failingSince.IsZero() && h.claim == nil && !h.unreadable && !h.worker.Draining && h.releaseTask == 0 && h.withheld < maxWithheld && h.rosterVersion <= storedRoster && !now.Before(h.noRoomUntil)
+	return h.listed && h.answered && h.failingSince.IsZero() && h.claim == nil && !h.unreadable && !h.worker.Draining && h.releaseTask == 0 && !h.resting && len(h.unacked) < maxUnacked && h.rosterVersion <= storedRoster && !now.Before(h.noRoomUntil)
 }
 
 // leaseLength returns the length of the leases that the owner gives.
@@ -286,6 +289,7 @@
 		}
 	}
 	delete(o.hosts, h.id)
+	o.Stats.Withheld.Dec(int64(h.withheld))
 	o.blockUnansweredStarts(h)
 	if o.inRoster(h) {
 		o.markChanged(o.roster)
@@ -329,6 +333,7 @@
 				continue
 			}
 			o.endsUnread = o.endsUnread || !h.answered
+			o.recordLapsed(h, now)
 			o.loseIncarnation(h, "lease is over")
 			o.announceTokenAt(h)
 		}
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -295,7 +295,7 @@
 	if e.Outcome == runs.Done || e.Outcome == runs.Failed || e.Checkpoint != "" {
 		o.markChanged(&j.doc)
 	}
-	h.unacked = append(h.unacked, pendingAck{e.Number, j, j.version, o.lateStartUntil(h, t, e)})
+	h.unacked = append(h.unacked, pendingAck{number: e.Number, job: j, version: j.version, notBefore: o.lateStartUntil(h, t, e)})
 	o.digestDue = o.digestDue || h.releaseTask != 0
 	if t.Phase == steps.Finished {
 		o.stopTask(t)
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -128,7 +128,8 @@
 	hadJobs   bool // the pool has had jobs that end by themselves
 	largest   largestCapacity
 	former    formerRecords
-	refusals  map[string]*refusal // by worker ID
+	refusals  map[string]*refusal    // by worker ID
+	lapsed    map[string]lapsedLease // by worker ID
 	// demand is the CPU that running, waiting and expected work needs, and
 	// publishedDemand the one in the last digest, both in thousandths of a core.
 	demand, publishedDemand int
@@ -174,7 +175,7 @@
 func New(p Params) *Owner {
 	o := &Owner{
 		Params: p, inbox: make(chan any, inboxSize), done: make(chan struct{}), hosts: map[string]*host{}, jobs: map[string]*job{},
-		cancelRequests: map[string]struct{}{}, forecasts: map[string]*pack.Forecast{}, inflows: map[string]*shift.Inflow{}, unanswered: map[string][]*unansweredStart{}, lateOrders: map[string][]*lateOrders{}, trialHosts: map[*steps.Task]*host{}, strays: map[*steps.Task]int{}, refusals: map[string]*refusal{},
+		cancelRequests: map[string]struct{}{}, forecasts: map[string]*pack.Forecast{}, inflows: map[string]*shift.Inflow{}, unanswered: map[string][]*unansweredStart{}, lateOrders: map[string][]*lateOrders{}, trialHosts: map[*steps.Task]*host{}, strays: map[*steps.Task]int{}, refusals: map[string]*refusal{}, lapsed: map[string]lapsedLease{},
 	}
 	o.roster = &doc{key: rosterKey(p.Pool), encode: o.encodeRoster}
 	o.digest = &doc{key: DigestKey(p.Pool), encode: o.encodeDigest}
@@ -233,6 +234,7 @@
 	defer cancel()
 	o.ctx = ctx
 	o.startedAt = o.Clock.Now()
+	defer o.forgetHosts()
 	rev, err := o.restore(ctx)
 	if err != nil {
 		return err
@@ -305,6 +307,7 @@
 	o.checkSuspension(now)
 	o.expireLeases(now)
 	o.stopLeaving(now)
+	o.restWorkers()
 	o.stopOnReleased(now)
 	next := tickInterval
 	if len(o.openJobs) > 0 && now.Sub(o.lastPass) >= maxPassGap {
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -19,6 +19,9 @@
 	job       *job
 	version   int
 	notBefore time.Time
+	// withheld tells that the worker must not hear that the end is read, as its run does not
+	// count: not before the worker's lease has lapsed.
+	withheld bool
 }
 
 // stored reports whether nothing is lost if the worker forgets the end.
@@ -77,7 +80,7 @@
 		// owner has read.
 		n.AckedThrough = h.ackable
 	}
-	if h.answered && h.failingSince.IsZero() && len(h.runs) > 0 && !now.Before(o.ordersFrom) {
+	if h.answered && h.failingSince.IsZero() && h.needsLease() && !now.Before(o.ordersFrom) {
 		// The lease of a worker that does not answer is not extended: otherwise each
 		// poll would postpone the time at which it expires.
 		n.UntilMs = h.workerClock(now) + o.leaseLength().Milliseconds()
@@ -162,8 +165,9 @@
 		o.leaveUnblocked(h, now)
 		o.passNeeded = true
 	}
+	lapsed := false
 	if !h.answered {
-		h.answered = true
+		h.answered, lapsed = true, o.lapsedBefore(h, &m)
 		o.enterRoster(h)
 		o.passNeeded = true
 		h.leaseUntil = max(h.leaseUntil, m.report.ClockMs+o.inheritedLease(h, now).Milliseconds())
@@ -175,6 +179,8 @@
 	// was sent. Counting from the sending would let the lease seem to expire early.
 	h.clock, h.clockAt, h.lastReport = m.report.ClockMs, now, m.sent
 	h.acked = max(h.acked, m.acked)
+	h.idle = len(m.report.Running) == 0 && !listsAllEnds(&m.report)
+	h.recordLapse(&m.report, lapsed)
 	o.handleEnds(h, m.report.Ended)
 	o.reconcileRuns(h, m.report, m.sent, now)
 	o.adjustFillShare(h)
@@ -184,7 +190,7 @@
 	switch {
 	case h.endsUnstored():
 		h.nextPoll = now.Add(pollGapUnstored)
-	case h.firstWithheld != 0, len(h.unacked) > 0:
+	case len(h.unacked) > 0:
 		h.nextPoll = now.Add(pollGapWithheld)
 	}
 }
@@ -217,22 +223,16 @@
 // handleEnds handles the new ends of a report, in order of their numbers.
 func (o *Owner) handleEnds(h *host, ends []runs.End) {
 	slices.SortFunc(ends, func(a, b runs.End) int { return int(a.Number - b.Number) })
-	lastExpiry := int64(0) // the last end by an expired lease
-	for _, e := range ends {
-		if e.Outcome == runs.LeaseExpired {
-			lastExpiry = e.Number
-		}
-	}
+	o.releaseWithheld(h)
 	for _, e := range ends {
 		if e.Number <= h.lastEnd {
 			continue
 		}
 		h.lastEnd = e.Number
-		if h.firstWithheld != 0 {
-			h.withheld++
-		}
-		if o.superseded(e) && e.Number > lastExpiry {
-			o.withholdAck(h, e)
+		// A run that ended as done before a lapse saves the one that has replaced it. One that
+		// failed would use up an attempt.
+		if o.superseded(e) && (e.Number > h.lapsedThrough || e.Outcome == runs.Failed) {
+			o.ignoreEnd(h, e)
 			continue
 		}
 		o.handleEnd(h, e)
@@ -262,14 +262,17 @@
 	}
 }
 
-// withholdAck ignores an end and never acknowledges it. The later run counts; a
-// worker whose end is acknowledged could count both runs as done.
-func (o *Owner) withholdAck(h *host, e runs.End) {
-	if h.firstWithheld == 0 {
-		h.firstWithheld, h.withheld = e.Number, 1
-	}
-	o.Log.Warn().Str("task", e.Task.String()).Int("run", e.Run).Str("host", h.id).Int64("number", e.Number).
-		Msg("ignoring the end of a superseded run; it is not acknowledged")
+// ignoreEnd ignores the end of a superseded run: the later run counts. The end is not
+// acknowledged before the worker's lease has lapsed, as both runs would count then.
+func (o *Owner) ignoreEnd(h *host, e runs.End) {
+	withhold := e.Number > h.lapsedThrough
+	h.unacked = append(h.unacked, pendingAck{number: e.Number, withheld: withhold})
+	if withhold {
+		h.withheld++
+		o.Stats.Withheld.Inc(1)
+	}
+	o.Log.Warn().Str("task", e.Task.String()).Int("run", e.Run).Str("host", h.id).Int64("number", e.Number).Bool("withheld", withhold).
+		Msg("ignoring the end of a superseded run")
 	if p := h.runs[e.Task]; p != nil && p.run == e.Run {
 		o.freeRoom(h, p)
 	}
@@ -286,11 +289,7 @@
 	for _, h := range o.hosts {
 		for len(h.unacked) > 0 {
 			e := h.unacked[0]
-			if h.firstWithheld != 0 && e.number >= h.firstWithheld {
-				h.unacked = nil
-				break
-			}
-			if !e.stored() || now.Before(e.notBefore) {
+			if e.withheld || !e.stored() || now.Before(e.notBefore) {
 				break
 			}
 			h.ackable = e.number
@@ -315,6 +314,9 @@
 			o.runVanished(h, p)
 			continue
 		}
+		if !listsAllEnds(&r) {
+			continue // its end may be among those that are left out
+		}
 		if p.confirmedAt.IsZero() || !p.confirmedAt.Before(sent) {
 			continue
 		}
--- a/owner/release.go
+++ b/owner/release.go
@@ -85,6 +85,9 @@
 		return
 	}
 	for _, h := range o.hosts {
+		if h.resting {
+			o.stopOnResting(h, now)
+		}
 		if h.releaseTask == 0 || !o.fleetPlan.Stop[h.id] {
 			continue
 		}
--- a/owner/roster.go
+++ b/owner/roster.go
@@ -20,6 +20,9 @@
 	// Lost tells that the incarnation was removed during the takeover and that another one
 	// of the worker is listed as well.
 	Lost bool `json:"lost,omitempty"`
+	// Lapsed tells that the worker was given up as its lease was over, and that nothing has
+	// run there since.
+	Lapsed bool `json:"lapsed,omitempty"`
 }
 
 // formerRecords is what an earlier owner has stored besides the jobs.
@@ -51,6 +54,7 @@
 		}
 		return 1
 	})
+	list = append(list, o.lapsedEntries()...)
 	b, err := json.Marshal(list)
 	if err != nil {
 		o.Log.Error().Err(err).Msg("encoding the list of workers failed")
@@ -95,6 +99,10 @@
 			o.Log.Error().Str("pool", o.Pool).Err(err).Msg("stored list of workers is not readable")
 		}
 		for _, e := range list {
+			if e.Lapsed {
+				o.lapsed[e.ID] = lapsedLease{e.StartedMs, o.Clock.Now()}
+				continue
+			}
 			if e.Lost {
 				o.missing = append(o.missing, e)
 				continue
@@ -127,7 +135,7 @@
 		list, _ := decodeRoster(it.Value)
 		pool := strings.TrimPrefix(it.Key, RosterPrefix)
 		for _, e := range list {
-			if !slices.Contains(out[e.ID], pool) {
+			if !e.Lapsed && !slices.Contains(out[e.ID], pool) {
 				out[e.ID] = append(out[e.ID], pool)
 			}
 		}
--- a/owner/stats.go
+++ b/owner/stats.go
@@ -8,12 +8,14 @@
 	Stops, Polls, PollsFailed   metrics.Counter
 	Paces                       metrics.Counter // orders to pace
 	Ends, EndsFailed            metrics.Counter
-	RunsLost                    metrics.Counter // with their workers
-	CrashesGivenUp              metrics.Counter // jobs given up as a subtask crashes workers
-	Jobs, Cancels               metrics.Counter
-	Commits, CommitsFailed      metrics.Counter
-	WatchesFailed               metrics.Counter
-	Questions, QuestionsFailed  metrics.Counter // to the advisor
+	// Withheld is the number of ends that are read and withheld from their workers now.
+	Withheld                   metrics.Counter
+	RunsLost                   metrics.Counter // with their workers
+	CrashesGivenUp             metrics.Counter // jobs given up as a subtask crashes workers
+	Jobs, Cancels              metrics.Counter
+	Commits, CommitsFailed     metrics.Counter
+	WatchesFailed              metrics.Counter
+	Questions, QuestionsFailed metrics.Counter // to the advisor
 	// Wait is the time from a job's acceptance to its first start, Commit the
 	// duration of a write to the store, both in microseconds.
 	Wait, Commit metrics.Histogram
@@ -34,7 +36,7 @@
 	return &Stats{
 		Starts: counter("starts"), Refused: counter("refused"), Unanswered: counter("unanswered"),
 		Paces: counter("paces"), Stops: counter("stops"), Polls: counter("looks"), PollsFailed: counter("looks.failed"),
-		Ends: counter("ends"), EndsFailed: counter("ends.failed"), RunsLost: counter("runs.lost"), CrashesGivenUp: counter("crashes.givenup"), Jobs: counter("jobs"), Cancels: counter("cancels"),
+		Ends: counter("ends"), EndsFailed: counter("ends.failed"), Withheld: counter("ends.withheld"), RunsLost: counter("runs.lost"), CrashesGivenUp: counter("crashes.givenup"), Jobs: counter("jobs"), Cancels: counter("cancels"),
 		Commits: counter("commits"), CommitsFailed: counter("commits.failed"), WatchesFailed: counter("watches.failed"),
 		Questions: counter("questions"), QuestionsFailed: counter("questions.failed"),
 		Wait: histogram("wait"), Commit: histogram("commit"),
--- a/owner/unproven.go
+++ b/owner/unproven.go
@@ -56,6 +56,7 @@
 // enterRoster adds a worker that has answered for the first time to the roster.
 func (o *Owner) enterRoster(h *host) {
 	delete(o.refusals, h.id)
+	delete(o.lapsed, h.id)
 	if h.inherited {
 		return
 	}
