agent: store the cancellation of a job that no pool has

A caller whose hand-in had been answered 504, or had not been answered yet, cancelled the job at another entry, heard 410, and the job ran: its hand-in was stored some milliseconds or seconds later.

Cause: an entry that found no job answered 410 and left nothing in the store, so that the condition of a hand-in under way ("no such job") still held afterwards. Late writes of the platform are one way; a retry by the entry (400 ms) or by the caller, a hand-in that arrives between the reads, and one for another pool of the queue are others, without any disruption. Ruled out: a cancellation under the pool's own key, as the queue's route may change and a write has 32 entries; keys under the entry's lease, as they go with the entry; removal by owners, as no pool has the job.

Now the cancellation is stored under cancelled/ID before the jobs' keys are read once more, and each hand-in has the condition that this key does not exist. A hand-in that is stored before is found and cancelled (200), one that comes later is answered 503: it is not accepted and never runs. A store that gives no answer to the cancellation leaves it unknown (504). The key is under a lease that nobody renews: it lives for status_s + 10 s (5 minutes at most) to twice that, and outlives its entry. Cancellations share writes, ten a second an entry; more than 32 waiting ones are refused. An unknown job costs two reads, a share of a write and one read a pool; before, it were two reads a pool.

--- /dev/null
+++ b/agent/cancel.go
@@ -0,0 +1,180 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"shallotpaddle/plat"
+	"shallotpaddle/platform"
+)
+
+const (
+	// cancelledPrefix is the prefix of the keys of cancellations whose jobs were not in the store.
+	cancelledPrefix = "cancelled/"
+	// minCancelledTime and maxCancelledTime limit the time for which such a cancellation is kept.
+	// The store grants leases of ten minutes at most, and a lease is twice as long.
+	minCancelledTime = time.Minute
+	maxCancelledTime = 5 * time.Minute
+	// cancelledSlack is added to the time for which the state of an ended job is kept.
+	cancelledSlack = 10 * time.Second
+	// cancelledGap is the pause after a write of such cancellations: those that arrive
+	// meanwhile share the next one.
+	cancelledGap = 100 * time.Millisecond
+	// maxCancelledBatch is the largest number of cancellations in one write.
+	maxCancelledBatch = platform.MaxChanges
+)
+
+// errManyCancels is returned while more jobs are cancelled that are not in the store than it
+// should be told about.
+var errManyCancels = errors.New("too many cancellations of unknown jobs")
+
+func cancelledKey(id string) string { return cancelledPrefix + id }
+
+// cancelled stores cancellations of jobs that the store does not have. Their hand-ins may be
+// under way: each is stored on condition that its job has no such cancellation. The keys
+// are under leases that nobody renews, so that the store removes them, and that do not end with
+// the entry.
+type cancelled struct {
+	clock     sinceClock
+	commit    func(ctx context.Context, t plat.Txn) ([]plat.Item, error)
+	grant     func(ctx context.Context, ttl time.Duration) (int64, error)
+	retention func() time.Duration // of the state of an ended job
+
+	mu      sync.Mutex
+	next    *cancelledBatch // to be written next, nil if none waits
+	writing bool            // a goroutine writes batches
+
+	// lease is that of the batches, granted at grantedAt; 0 for none. Only the goroutine that
+	// writes uses them.
+	lease     int64
+	grantedAt time.Duration
+}
+
+// sinceClock has the clocks of cancelled.
+type sinceClock struct {
+	sinceBoot func() time.Duration // counts suspensions
+	pause     func(ctx context.Context, d time.Duration)
+}
+
+// cancelledBatch is a set of cancellations that share a write. err is set before done is closed.
+type cancelledBatch struct {
+	ids  []string
+	done chan struct{}
+	err  error
+}
+
+// keepTime returns how long a cancellation is kept at least.
+func (c *cancelled) keepTime() time.Duration {
+	return min(max(c.retention()+cancelledSlack, minCancelledTime), maxCancelledTime)
+}
+
+// store returns once the cancellation of a job is stored: a hand-in of the job that is
+// not stored by then never will be. It returns errManyCancels, with which nothing is stored,
+// or another error if that is not known.
+func (c *cancelled) store(ctx context.Context, id string) error {
+	b := c.join(id)
+	if b == nil {
+		return errManyCancels
+	}
+	select {
+	case <-b.done:
+		return b.err
+	case <-ctx.Done():
+		return plat.ErrUnknown
+	}
+}
+
+// join adds a job to the batch that is written next, or returns nil if that is full.
+func (c *cancelled) join(id string) *cancelledBatch {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.next == nil {
+		c.next = &cancelledBatch{done: make(chan struct{})}
+	}
+	if len(c.next.ids) == maxCancelledBatch {
+		return nil
+	}
+	c.next.ids = append(c.next.ids, id)
+	if !c.writing {
+		c.writing = true
+		go c.write()
+	}
+	return c.next
+}
+
+// take returns the batch to write, or nil if there is none, after which nobody writes.
+func (c *cancelled) take() *cancelledBatch {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b := c.next
+	c.next = nil
+	c.writing = b != nil
+	return b
+}
+
+// write writes batches until none waits. A caller who gives up doesn't end a write that others
+// wait for.
+func (c *cancelled) write() {
+	ctx := context.Background()
+	for b := c.take(); b != nil; b = c.take() {
+		b.err = c.put(ctx, b.ids)
+		close(b.done)
+		c.clock.pause(ctx, cancelledGap)
+	}
+}
+
+// put stores cancellations. The keys have no conditions: an earlier cancellation of the same job may
+// be about to end.
+func (c *cancelled) put(ctx context.Context, ids []string) error {
+	err := c.putOnce(ctx, ids)
+	if errors.Is(err, plat.ErrNotFound) {
+		c.lease = 0 // it has ended
+		err = c.putOnce(ctx, ids)
+	}
+	return err
+}
+
+func (c *cancelled) putOnce(ctx context.Context, ids []string) error {
+	if err := c.renewLease(ctx); err != nil {
+		return err
+	}
+	t := plat.Txn{}
+	for _, id := range ids {
+		t.Puts = append(t.Puts, plat.Put{Key: cancelledKey(id), Value: []byte(`{}`), Lease: c.lease})
+	}
+	_, err := c.commit(ctx, t)
+	return err
+}
+
+// renewLease replaces the lease once it is too short for another cancellation.
+func (c *cancelled) renewLease(ctx context.Context) error {
+	keep := c.keepTime()
+	begun := c.clock.sinceBoot()
+	if c.lease != 0 && begun-c.grantedAt < keep {
+		return nil
+	}
+	id, err := c.grant(ctx, 2*keep)
+	if err != nil {
+		return err
+	}
+	c.lease, c.grantedAt = id, begun
+	return nil
+}
+
+// onlyCancelled reports whether, of the keys in the items of a conflict, only the cancellation of a
+// job exists, so that the job was not stored.
+func onlyCancelled(items []plat.Item, id string) bool {
+	found := false
+	for _, it := range items {
+		switch {
+		case it.Rev == 0 || it.Deleted:
+		case it.Key == cancelledKey(id):
+			found = true
+		default:
+			return false
+		}
+	}
+	return found
+}
--- a/agent/jobapi.go
+++ b/agent/jobapi.go
@@ -27,11 +27,15 @@
 
 // jobAPI serves callers' requests on jobs, from the store.
 type jobAPI struct {
-	agent *Agent
+	agent     *Agent
+	cancelled *cancelled
 	// acceptTime is the time from a submitted job to its answer, in microseconds.
 	acceptTime                 metrics.Histogram
 	accepted, refused, unknown metrics.Counter
 	reads                      metrics.Counter
+	// barred counts the hand-ins of jobs that were cancelled before, and cancelledUnknown the
+	// cancellations of jobs that the store does not have.
+	barred, cancelledUnknown metrics.Counter
 }
 
 // Size and decay of the samples of histograms.
@@ -41,14 +45,22 @@
 )
 
 func newJobAPI(a *Agent) *jobAPI {
-	return &jobAPI{
+	api := &jobAPI{
 		agent:      a,
 		acceptTime: metrics.NewRegisteredHistogram("desk.accept", a.registry, metrics.NewExpDecaySample(sampleSize, sampleDecay)),
 		accepted:   metrics.NewRegisteredCounter("desk.accepted", a.registry),
 		refused:    metrics.NewRegisteredCounter("desk.refused", a.registry),
 		unknown:    metrics.NewRegisteredCounter("desk.unknown", a.registry),
 		reads:      metrics.NewRegisteredCounter("desk.reads", a.registry),
+		barred:     metrics.NewRegisteredCounter("desk.barred", a.registry),
+
+		cancelledUnknown: metrics.NewRegisteredCounter("desk.cancelled.unknown", a.registry),
+	}
+	api.cancelled = &cancelled{
+		clock: sinceClock{sinceBoot, a.pause}, commit: api.commit, grant: a.writer.Grant,
+		retention: func() time.Duration { return a.currentSettings().Bounds.StatusRetention },
 	}
+	return api
 }
 
 // handlers returns the HTTP API with these functions.
@@ -76,12 +88,17 @@
 		api.agent.log.Error().Str("job", j.ID).Err(err).Msg("job cannot be encoded")
 		return platform.Answer{Outcome: platform.Invalid}
 	}
-	a := api.createKey(ctx, plat.Put{Key: owner.JobKey(q.Pool, j.ID), Value: value}, api.otherJobKeys(q.Pool, j.ID)...)
+	a, items := api.createKey(ctx, plat.Put{Key: owner.JobKey(q.Pool, j.ID), Value: value}, append(api.otherJobKeys(q.Pool, j.ID), cancelledKey(j.ID))...)
+	barred := onlyCancelled(items, j.ID)
+	if barred {
+		api.barred.Inc(1)
+		a = platform.Answer{Outcome: platform.Refused, Retry: 2 * api.cancelled.keepTime()}
+	}
 	took := api.agent.clock.Since(begun)
 	api.acceptTime.Update(took.Microseconds())
 	api.countOutcome(a.Outcome)
 	api.agent.log.Info().Str("job", j.ID).Str("queue", q.Name).Str("pool", q.Pool).Int64("version", api.agent.version.Load().Number).
-		Str("outcome", a.Outcome.String()).Dur("took", took).Msg("job submitted")
+		Str("outcome", a.Outcome.String()).Bool("cancelled", barred).Dur("took", took).Msg("job submitted")
 	return a
 }
 
@@ -106,51 +123,58 @@
 }
 
 // otherJobKeys returns the keys under which a job may have been accepted for a pool
-// that its queue no longer uses, for as many pools as a write can have conditions.
+// that its queue no longer uses, for as many pools as a write can have conditions besides
+// those on the job and its cancellation.
 func (api *jobAPI) otherJobKeys(pool, id string) []string {
 	var keys []string
 	for _, p := range api.agent.version.Load().Pools {
-		if p.Name != pool && len(keys) < platform.MaxChanges-2 {
+		if p.Name != pool && len(keys) < platform.MaxChanges-3 {
 			keys = append(keys, owner.JobKey(p.Name, id))
 		}
 	}
 	return keys
 }
 
-// createKey writes a key unless it or one of the others exists, and retries until
-// createTimeout. A key that exists was written by an earlier try and counts as
-// success. If no try is answered, the outcome is unknown, never refused, as the
-// request may repeat one that was accepted.
-func (api *jobAPI) createKey(ctx context.Context, p plat.Put, others ...string) platform.Answer {
-	begun := api.agent.clock.Now()
+// createKey writes a key unless it or one of the others exists. A key that exists was
+// written by an earlier try and counts as success; the items of the keys are returned then.
+// If no try is answered, the outcome is unknown, never refused, as the request may
+// repeat one that was accepted.
+func (api *jobAPI) createKey(ctx context.Context, p plat.Put, others ...string) (platform.Answer, []plat.Item) {
 	absent := []plat.Condition{{Key: p.Key}}
 	for _, key := range others {
 		absent = append(absent, plat.Condition{Key: key})
 	}
+	items, err := api.commit(ctx, plat.Txn{Expect: absent, Puts: []plat.Put{p}})
+	if err == nil || errors.Is(err, plat.ErrConflict) {
+		return platform.Answer{Outcome: platform.Done, Pending: -1}, items
+	}
+	return platform.Answer{Outcome: platform.Unknown, Retry: retryAfter}, nil
+}
+
+// commit applies a transaction, and retries until createTimeout while no try is answered.
+// After a conflict it returns the present items of the conditions.
+func (api *jobAPI) commit(ctx context.Context, t plat.Txn) ([]plat.Item, error) {
+	begun := api.agent.clock.Now()
+	err := plat.ErrUnknown
 	for ctx.Err() == nil {
-		_, _, err := api.agent.writer.Commit(ctx, plat.Txn{Expect: absent, Puts: []plat.Put{p}})
-		if err == nil || errors.Is(err, plat.ErrConflict) {
-			return platform.Answer{Outcome: platform.Done, Pending: -1}
+		var items []plat.Item
+		_, items, err = api.agent.writer.Commit(ctx, t)
+		if err == nil || errors.Is(err, plat.ErrConflict) || errors.Is(err, plat.ErrNotFound) {
+			return items, err
 		}
 		if api.agent.clock.Since(begun) > createTimeout || api.agent.storeUnreachable() {
 			break
 		}
 		api.agent.pause(ctx, createRetryDelay)
 	}
-	return platform.Answer{Outcome: platform.Unknown, Retry: retryAfter}
+	return nil, err
 }
 
 // findJob returns the pool and the recorded progress of a job, or plat.ErrNotFound.
 // It searches all pools, as the job may have been accepted for a pool that its
 // queue no longer uses.
 func (api *jobAPI) findJob(ctx context.Context, q *policy.Queue, id string) (string, steps.Record, error) {
-	pools := []string{q.Pool}
-	for _, p := range api.agent.version.Load().Pools {
-		if p.Name != q.Pool {
-			pools = append(pools, p.Name)
-		}
-	}
-	for _, pool := range pools {
+	for _, pool := range api.poolsFrom(q) {
 		r, err := api.readJob(ctx, pool, id)
 		if !errors.Is(err, plat.ErrNotFound) {
 			return pool, r, err
@@ -159,6 +183,17 @@
 	return "", steps.Record{}, plat.ErrNotFound
 }
 
+// poolsFrom returns the names of all pools, the queue's first.
+func (api *jobAPI) poolsFrom(q *policy.Queue) []string {
+	pools := []string{q.Pool}
+	for _, p := range api.agent.version.Load().Pools {
+		if p.Name != q.Pool {
+			pools = append(pools, p.Name)
+		}
+	}
+	return pools
+}
+
 // readJob reads the recorded progress of a job in one pool: an empty record if the
 // job has none yet, plat.ErrNotFound if there is no such job.
 func (api *jobAPI) readJob(ctx context.Context, pool, id string) (steps.Record, error) {
@@ -202,22 +237,54 @@
 	if api.agent.storeUnreachable() {
 		return api.rejectUnreachable(id, "cancel", platform.Refused)
 	}
-	pool, r, err := api.findJob(ctx, q, id)
+	r, err := api.readJob(ctx, q.Pool, id)
 	var a platform.Answer
+	known := !errors.Is(err, plat.ErrNotFound)
 	switch {
-	case errors.Is(err, plat.ErrNotFound):
-		a = platform.Answer{Outcome: platform.Absent}
+	case !known:
+		a, err = api.cancelUnknown(ctx, q, id)
 	case err != nil:
 		a = platform.Answer{Outcome: platform.Refused, Retry: retryAfter}
 	case r.State != steps.Open:
 		a = platform.Answer{Outcome: platform.Done, Pending: -1}
 	default:
-		a = api.createKey(ctx, plat.Put{Key: owner.CancelKey(pool, id), Value: []byte(`{}`)})
+		a = api.cancelKnown(ctx, q.Pool, id)
 	}
-	api.agent.log.Info().Str("job", id).Str("pool", pool).Str("outcome", a.Outcome.String()).Err(err).Msg("job cancellation requested")
+	api.agent.log.Info().Str("job", id).Str("pool", q.Pool).Bool("known", known).Str("outcome", a.Outcome.String()).Err(err).Msg("job cancellation requested")
 	return a
 }
 
+// cancelKnown stores the cancellation of a job that a pool has.
+func (api *jobAPI) cancelKnown(ctx context.Context, pool, id string) platform.Answer {
+	a, _ := api.createKey(ctx, plat.Put{Key: owner.CancelKey(pool, id), Value: []byte(`{}`)})
+	return a
+}
+
+// cancelUnknown cancels a job that its queue's pool did not have. Its hand-in may be under way:
+// the job counts as absent once that can't be stored any more.
+func (api *jobAPI) cancelUnknown(ctx context.Context, q *policy.Queue, id string) (platform.Answer, error) {
+	unknown := platform.Answer{Outcome: platform.Unknown, Retry: retryAfter}
+	switch err := api.cancelled.store(ctx, id); {
+	case errors.Is(err, errManyCancels):
+		return platform.Answer{Outcome: platform.Refused, Retry: retryAfter}, err
+	case err != nil:
+		return unknown, err
+	}
+	// A hand-in may have been stored since the job was read, or for another pool.
+	for _, pool := range api.poolsFrom(q) {
+		api.reads.Inc(1)
+		_, err := api.agent.store.Get(ctx, owner.JobKey(pool, id))
+		switch {
+		case err == nil:
+			return api.cancelKnown(ctx, pool, id), nil
+		case !errors.Is(err, plat.ErrNotFound):
+			return unknown, err
+		}
+	}
+	api.cancelledUnknown.Inc(1)
+	return platform.Answer{Outcome: platform.Absent}, nil
+}
+
 // pending answers how many jobs wait in a queue, from the digest of its pool.
 func (api *jobAPI) pending(ctx context.Context, q *policy.Queue) platform.Answer {
 	it, err := api.agent.store.Get(ctx, owner.DigestKey(q.Pool))
