owner: remove cancellations without a job, and repeat failed removals

Cause: a cancellation that is stored after its job was removed stayed under job/POOL/ID/cancel and in the owner's cancelRequests for good, over all changes of owner. And the owner forgot the jobs of a removal before the store had answered, so that their keys stayed until the pool had another owner if it did not.

Now the owner removes a cancellation without a job after the time for which ended jobs are kept, and forgets jobs once the store has acknowledged their removal; a failed one is repeated after 100 ms like other writes.

--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -118,7 +118,9 @@
 		return // only owners remove jobs
 	}
 	if cancel {
-		o.cancelRequests[id] = struct{}{}
+		if _, known := o.cancelRequests[id]; !known {
+			o.cancelRequests[id] = o.Clock.Now()
+		}
 		if watched {
 			o.cancelJob(id)
 		}
@@ -314,29 +316,43 @@
 // removalDelay is how long an ended job is kept beyond Bounds.StatusRetention.
 const removalDelay = 10 * time.Second
 
-// removeEndedJobs removes jobs that ended long ago from memory and from the store.
+// maxRemovals is the largest number of jobs in one removal: each has three keys.
+const maxRemovals = 9
+
+// removeEndedJobs removes jobs that ended long ago from the store and from memory, and
+// cancellations that were stored after their jobs had been removed.
 func (o *Owner) removeEndedJobs(now time.Time) {
-	if o.writer.busy || len(o.writer.queue) > 0 {
+	if o.writer.busy || len(o.writer.queue) > 0 || now.Before(o.writer.notBefore) {
 		return
 	}
 	t := plat.Txn{Expect: []plat.Condition{{Key: o.ElectionKey, Rev: o.Fence}}}
+	keep := o.Bounds.StatusRetention + removalDelay
+	var removed []string
 	for id, j := range o.jobs {
-		if j.endedAt.IsZero() || j.activeTasks > 0 || now.Sub(j.endedAt) < o.Bounds.StatusRetention+removalDelay {
+		if j.endedAt.IsZero() || j.activeTasks > 0 || now.Sub(j.endedAt) < keep {
 			continue
 		}
+		removed = append(removed, id)
 		t.Remove = append(t.Remove, JobKey(o.Pool, id), j.key, CancelKey(o.Pool, id))
-		delete(o.jobs, id)
-		delete(o.cancelRequests, id)
-		if len(t.Remove) >= 2*maxDocs-3 {
+		if len(removed) >= maxRemovals {
+			break
+		}
+	}
+	for id, since := range o.cancelRequests {
+		if len(removed) >= maxRemovals {
 			break
 		}
+		if o.jobs[id] == nil && now.Sub(since) >= keep {
+			removed = append(removed, id)
+			t.Remove = append(t.Remove, CancelKey(o.Pool, id))
+		}
 	}
-	if len(t.Remove) == 0 {
+	if len(removed) == 0 {
 		return
 	}
 	o.writer.busy = true
 	go func() {
 		rev, items, err := o.Store.Commit(o.ctx, t)
-		o.post(commitResult{rev: rev, items: items, err: err})
+		o.post(commitResult{removed: removed, rev: rev, items: items, err: err})
 	}()
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -98,8 +98,8 @@
 	pollsSince     time.Time
 	hosts          map[string]*host
 	jobs           map[string]*job
-	openJobs       []*job              // jobs not ended, by rank, then by time of acceptance
-	cancelRequests map[string]struct{} // IDs of cancelled jobs, known or not yet known
+	openJobs       []*job               // jobs not ended, by rank, then by time of acceptance
+	cancelRequests map[string]time.Time // when each was first read, by job ID; the job may not be known yet
 	writer         writer
 	roster         *doc // the stored list of workers that may have runs of the pool
 	digest         *doc // the stored summary of demand and load, for other entries
@@ -175,7 +175,7 @@
 func New(p Params) *Owner {
 	o := &Owner{
 		Params: p, inbox: make(chan any, inboxSize), done: make(chan struct{}), hosts: map[string]*host{}, jobs: map[string]*job{},
-		cancelRequests: map[string]struct{}{}, forecasts: map[string]*pack.Forecast{}, inflows: map[string]*shift.Inflow{}, unanswered: map[string][]*unansweredStart{}, lateOrders: map[string][]*lateOrders{}, trialHosts: map[*steps.Task]*host{}, strays: map[*steps.Task]int{}, refusals: map[string]*refusal{}, lapsed: map[string]lapsedLease{},
+		cancelRequests: map[string]time.Time{}, forecasts: map[string]*pack.Forecast{}, inflows: map[string]*shift.Inflow{}, unanswered: map[string][]*unansweredStart{}, lateOrders: map[string][]*lateOrders{}, trialHosts: map[*steps.Task]*host{}, strays: map[*steps.Task]int{}, refusals: map[string]*refusal{}, lapsed: map[string]lapsedLease{},
 	}
 	o.roster = &doc{key: rosterKey(p.Pool), encode: o.encodeRoster}
 	o.digest = &doc{key: DigestKey(p.Pool), encode: o.encodeDigest}
--- a/owner/pool_test.go
+++ b/owner/pool_test.go
@@ -62,6 +62,8 @@
 	advised bool
 	// repeats makes entries repeat overdue writes to the store.
 	repeats bool
+	// retention is how long ended jobs are kept.
+	retention time.Duration
 }
 
 // entry is one process that takes part in the pool's election.
@@ -128,7 +130,7 @@
 func newTestPool(t *testing.T, seed uint64) *testPool {
 	pool := &testPool{
 		t: t, rand: rand.New(rand.NewPCG(seed, 7)), kv: fakes.NewKV(), workers: fakes.NewWorkerSet(holdMax),
-		entries: map[string]*entry{}, cancels: map[string]bool{}, activeAtEnd: map[string]int{},
+		entries: map[string]*entry{}, cancels: map[string]bool{}, activeAtEnd: map[string]int{}, retention: time.Hour,
 		log: &log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: io.Discard}},
 	}
 	if os.Getenv("MODEL_LOG") != "" {
@@ -244,7 +246,7 @@
 	run, end := context.WithCancel(ctx)
 	o := owner.New(owner.Params{
 		Pool: poolName, ElectionKey: elect.Key(poolName), Fence: t.Fence, Term: t.Number,
-		Bounds:     owner.Bounds{MaxLease: holdMax, StopTime: 200 * time.Millisecond, Drain: 2 * time.Second, StatusRetention: time.Hour},
+		Bounds:     owner.Bounds{MaxLease: holdMax, StopTime: 200 * time.Millisecond, Drain: 2 * time.Second, StatusRetention: pool.retention},
 		Store:      owner.Store{List: store.List, Watch: store.Watch, Commit: store.Commit},
 		Workers:    pool.orders(e),
 		AskAdvisor: pool.workers.Ask, Proven: e.elect.Proven, SinceBoot: func() time.Duration { return time.Duration(time.Now().UnixNano()) },
--- a/owner/writer.go
+++ b/owner/writer.go
@@ -42,7 +42,8 @@
 // commitResult is the result of a write.
 type commitResult struct {
 	docs     []*doc
-	versions []int // of docs, as written
+	versions []int    // of docs, as written
+	removed  []string // IDs of the jobs whose keys were to be removed
 	rev      int64
 	items    []plat.Item // the keys in the store, after a conflict
 	err      error
@@ -92,6 +93,10 @@
 	o.Stats.Commit.Update(m.took.Microseconds())
 	if m.err == nil {
 		o.writer.failures = 0
+		for _, id := range m.removed {
+			delete(o.jobs, id)
+			delete(o.cancelRequests, id)
+		}
 		for i, d := range m.docs {
 			d.rev = m.rev
 			d.stored = max(d.stored, m.versions[i])
