owner: hear of cancellations while watches are silent and lists long

Cause: the store drops its history at second 7. Before, the owner's watch hears nothing, and then it is cut: heard of after 0.25 s while jobs are expected, else after 1.6 s, twice in a row at worst. The list that follows has all jobs, and takes 2.2 to 2.7 s in an owner at its limit (3,700 starts and as many ends in 5 s on 0.8 of a core; 0.07 s where it is not). The log could not tell these apart: both lines say now how long the watch and the list took. Ruled out: a store that answers late (other entries' lists take 0.07 s), and the wait for the proof of the election (no such line).

Now every watch has a deadline, 0.5 s after its wait where no jobs are expected, and is replaced by a list if it gets no answer. Cancellations stand under job/POOL/cancel/, and are listed beside the long list every half second. The former key is written in the same transaction, for owners of earlier builds, and read.

Evidence: TestCancellationWhileWatchIsSilent fails before (the job runs 3 s after its cancellation), as does TestCancellationsAreHeardBeforeLongList (all 2,000 keys after 4 s). The stand-in's watches end with the store client's timeout.

--- a/agent/jobapi.go
+++ b/agent/jobapi.go
@@ -88,7 +88,14 @@
 		api.agent.log.Error().Str("job", j.ID).Err(err).Msg("job cannot be encoded")
 		return platform.Answer{Outcome: platform.Invalid}
 	}
-	a, items := api.createKey(ctx, plat.Put{Key: owner.JobKey(q.Pool, j.ID), Value: value}, append(api.otherJobKeys(q.Pool, j.ID), cancelledKey(j.ID))...)
+	t := plat.Txn{
+		Expect: []plat.Condition{{Key: owner.JobKey(q.Pool, j.ID)}, {Key: cancelledKey(j.ID)}},
+		Puts:   []plat.Put{{Key: owner.JobKey(q.Pool, j.ID), Value: value}},
+	}
+	for _, key := range api.otherJobKeys(q.Pool, j.ID) {
+		t.Expect = append(t.Expect, plat.Condition{Key: key})
+	}
+	a, items := api.create(ctx, t)
 	barred := onlyCancelled(items, j.ID)
 	if barred {
 		api.barred.Inc(1)
@@ -135,16 +142,12 @@
 	return keys
 }
 
-// createKey writes a key unless it or one of the others exists. A key that exists was
+// create applies a transaction that expects keys not to exist. A key that exists was
 // written by an earlier try and counts as success; the items of the keys are returned then.
 // If no try is answered, the outcome is unknown, never refused, as the request may
 // repeat one that was accepted.
-func (api *jobAPI) createKey(ctx context.Context, p plat.Put, others ...string) (platform.Answer, []plat.Item) {
-	absent := []plat.Condition{{Key: p.Key}}
-	for _, key := range others {
-		absent = append(absent, plat.Condition{Key: key})
-	}
-	items, err := api.commit(ctx, plat.Txn{Expect: absent, Puts: []plat.Put{p}})
+func (api *jobAPI) create(ctx context.Context, t plat.Txn) (platform.Answer, []plat.Item) {
+	items, err := api.commit(ctx, t)
 	if err == nil || errors.Is(err, plat.ErrConflict) {
 		return platform.Answer{Outcome: platform.Done, Pending: -1}, items
 	}
@@ -256,7 +259,11 @@
 
 // cancelKnown stores the cancellation of a job that a pool has.
 func (api *jobAPI) cancelKnown(ctx context.Context, pool, id string) platform.Answer {
-	a, _ := api.createKey(ctx, plat.Put{Key: owner.CancelKey(pool, id), Value: []byte(`{}`)})
+	t := plat.Txn{Expect: []plat.Condition{{Key: owner.CancelKey(pool, id)}}}
+	for _, key := range []string{owner.CancelKey(pool, id), owner.FormerCancelKey(pool, id)} {
+		t.Puts = append(t.Puts, plat.Put{Key: key, Value: []byte(`{}`)})
+	}
+	a, _ := api.create(ctx, t)
 	return a
 }
 
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -316,8 +316,8 @@
 // removalDelay is how long an ended job is kept beyond Bounds.StatusRetention.
 const removalDelay = 10 * time.Second
 
-// maxRemovals is the largest number of jobs in one removal: each has three keys.
-const maxRemovals = 9
+// maxRemovals is the largest number of jobs in one removal: each has four keys.
+const maxRemovals = 7
 
 // removeEndedJobs removes jobs that ended long ago from the store and from memory, and
 // cancellations that were stored after their jobs had been removed.
@@ -333,7 +333,7 @@
 			continue
 		}
 		removed = append(removed, id)
-		t.Remove = append(t.Remove, JobKey(o.Pool, id), j.key, CancelKey(o.Pool, id))
+		t.Remove = append(t.Remove, JobKey(o.Pool, id), j.key, CancelKey(o.Pool, id), FormerCancelKey(o.Pool, id))
 		if len(removed) >= maxRemovals {
 			break
 		}
@@ -344,7 +344,7 @@
 		}
 		if o.jobs[id] == nil && now.Sub(since) >= keep {
 			removed = append(removed, id)
-			t.Remove = append(t.Remove, CancelKey(o.Pool, id))
+			t.Remove = append(t.Remove, CancelKey(o.Pool, id), FormerCancelKey(o.Pool, id))
 		}
 	}
 	if len(removed) == 0 {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -398,27 +398,34 @@
 	// expected, and maxWatchGrace how much longer in an entry that is slow itself.
 	watchGrace    = 150 * time.Millisecond
 	maxWatchGrace = 1200 * time.Millisecond
+	// idleWatchGrace is watchGrace while no jobs are expected: a cancellation must be heard
+	// of in time, but a list has all jobs and costs more than a late answer.
+	idleWatchGrace = 500 * time.Millisecond
 	// minWatchWait is the shortest wait of a watch.
 	minWatchWait = 100 * time.Millisecond
 )
 
 // watchJobs posts the jobs and cancellations that entries write for the pool.
 //
-// Before the store discards its history, watches may hear nothing for a second. A
-// watch that hears nothing while jobs are expected is replaced by a list.
+// Before the store discards its history, watches may hear nothing for a second, and then
+// get no answer at all. A watch that gets none in time, or hears nothing while jobs are
+// expected, is replaced by a list.
 func (o *Owner) watchJobs(ctx context.Context, rev int64) {
 	prefix, grace := JobPrefix(o.Pool), watchGrace
 	for ctx.Err() == nil {
-		wait := o.watchWait()
+		wait, begun := o.watchWait(), o.Clock.Now()
 		items, next, err := o.watchOnce(ctx, prefix, rev, wait, grace)
+		watched := o.Clock.Since(begun)
 		switch {
 		case errors.Is(err, plat.ErrCompacted):
-			items, next, err = o.Store.List(ctx, prefix)
-			o.Log.Info().Str("pool", o.Pool).Int64("rev", rev).Err(err).Msg("watch history was compacted; listing all jobs")
-		case len(items) == 0 && wait < maxWatchWait:
+			items, next, err = o.listJobs(ctx)
+			o.Log.Info().Str("pool", o.Pool).Int64("rev", rev).Dur("watched", watched).Dur("took", o.Clock.Since(begun)-watched).
+				Err(err).Msg("watch history was compacted; listing all jobs")
+		case len(items) == 0 && (wait < maxWatchWait || errors.Is(err, plat.ErrUnknown) || errors.Is(err, context.DeadlineExceeded)):
 			watchErr := err
-			items, next, err = o.Store.List(ctx, prefix)
-			o.Log.Info().Str("pool", o.Pool).Int64("rev", rev).Dur("silent", wait).AnErr("cause", watchErr).Err(err).Msg("watch is silent; listing all jobs")
+			items, next, err = o.listJobs(ctx)
+			o.Log.Info().Str("pool", o.Pool).Int64("rev", rev).Dur("silent", watched).Dur("took", o.Clock.Since(begun)-watched).AnErr("cause", watchErr).
+				Err(err).Msg("watch is silent; listing all jobs")
 		}
 		if err != nil {
 			// An entry that is too slow for a list may still be in time for a watch.
@@ -435,6 +442,30 @@
 	}
 }
 
+// cancelListInterval is the pause between two lists of cancellations while all jobs are listed.
+const cancelListInterval = 500 * time.Millisecond
+
+// listJobs lists the pool's jobs and cancellations. All jobs may take seconds in an entry at its
+// limit, in which some of those that are cancelled would start: the cancellations are posted as
+// soon as they are known.
+func (o *Owner) listJobs(ctx context.Context) ([]plat.Item, int64, error) {
+	listing, done := context.WithCancel(ctx)
+	defer done()
+	go o.postCancellations(listing)
+	return o.Store.List(ctx, JobPrefix(o.Pool))
+}
+
+// postCancellations lists and posts the pool's cancellations until the context ends.
+func (o *Owner) postCancellations(ctx context.Context) {
+	for ctx.Err() == nil {
+		items, _, err := o.Store.List(ctx, cancelPrefix(o.Pool))
+		if err == nil && len(items) > 0 {
+			o.post(itemsWritten{items})
+		}
+		o.sleep(ctx, cancelListInterval)
+	}
+}
+
 // proofInterval is how often an owner in doubt checks whether its election is in force.
 const proofInterval = 20 * time.Millisecond
 
@@ -453,13 +484,13 @@
 }
 
 // watchOnce watches once. A store that is about to discard its history doesn't end
-// watches when their wait is over; while jobs are expected, the caller lists them then.
+// watches when their wait is over; the caller lists the jobs then.
 func (o *Owner) watchOnce(ctx context.Context, prefix string, rev int64, wait, grace time.Duration) ([]plat.Item, int64, error) {
-	if wait < maxWatchWait {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, wait+grace)
-		defer cancel()
+	if wait == maxWatchWait {
+		grace = max(grace, idleWatchGrace)
 	}
+	ctx, cancel := context.WithTimeout(ctx, wait+grace)
+	defer cancel()
 	return o.Store.Watch(ctx, prefix, rev, wait)
 }
 
--- a/owner/pool_test.go
+++ b/owner/pool_test.go
@@ -194,7 +194,9 @@
 				pause(ctx)
 				return nil, 0, err
 			}
-			items, rev, err := pool.kv.Watch(ctx, p, after, wait)
+			limited, cancel := context.WithTimeout(ctx, platform.StoreTimeout+wait)
+			defer cancel()
+			items, rev, err := pool.kv.Watch(limited, p, after, wait)
 			if p != owner.JobPrefix(poolName) {
 				pool.hears(ctx, e)
 			}
--- a/owner/rules_test.go
+++ b/owner/rules_test.go
@@ -93,6 +93,27 @@
 	})
 }
 
+// UNASKED: watches get no answer for four seconds while no jobs arrive. A cancellation is heard of
+// in time all the same.
+func TestCancellationWhileWatchIsSilent(t *testing.T) {
+	withoutFaults(t, 4, func(_ context.Context, pool *testPool) {
+		pool.workers.DecideRun = func(runs.Task, int) (time.Duration, runs.Outcome) { return 2 * time.Second, runs.Done }
+		j := &steps.Job{ID: fmt.Sprintf("%016x", 1), Queue: "q", MaxAttempts: 3, Steps: []steps.Step{{Count: 1, CPU: 100}}}
+		for i := range 9 {
+			j.Steps = append(j.Steps, steps.Step{Count: 1, CPU: 100, After: []int{i}})
+		}
+		pool.submit(j)
+		time.Sleep(8 * time.Second)
+		pool.kv.SetSilent(true)
+		time.Sleep(50 * time.Millisecond)
+		pool.cancel(j.ID)
+		time.Sleep(3 * time.Second)
+		require.Empty(t, pool.workers.Running())
+		time.Sleep(time.Second)
+		pool.kv.SetSilent(false)
+	})
+}
+
 // MIXED: the digest counts jobs that wait, and no longer once they have started.
 func TestPendingIsTold(t *testing.T) {
 	withoutFaults(t, 1, func(_ context.Context, pool *testPool) {
--- a/owner/watch_test.go
+++ b/owner/watch_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -59,3 +61,59 @@
 		})
 	}
 }
+
+// UNASKED: the store's history is gone, and the entry is at its limit, so that a list of all jobs
+// takes seconds. Subtasks of jobs that were cancelled long before started meanwhile.
+func TestCancellationsAreHeardBeforeLongList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		perItem := 2 * time.Millisecond
+		o := New(Params{
+			Pool: "a", Clock: quartz.NewReal(), Log: &log.Logger{Level: log.PanicLevel}, Stats: NewStats(metrics.NewRegistry()),
+			Proven: func() bool { return true },
+			Store: Store{
+				Watch: func(context.Context, string, int64, time.Duration) ([]plat.Item, int64, error) {
+					return nil, 0, plat.ErrCompacted
+				},
+				List: func(ctx context.Context, prefix string) ([]plat.Item, int64, error) {
+					var out []plat.Item
+					for i := range 2000 {
+						key := JobKey("a", fmt.Sprintf("%016x", i))
+						if i%20 == 0 {
+							key = CancelKey("a", fmt.Sprintf("%016x", i))
+						}
+						if strings.HasPrefix(key, prefix) {
+							out = append(out, plat.Item{Key: key, Rev: 1})
+						}
+					}
+					o := time.NewTimer(time.Duration(len(out)) * perItem)
+					defer o.Stop()
+					select {
+					case <-o.C:
+						return out, 1, nil
+					case <-ctx.Done():
+						return nil, 0, ctx.Err()
+					}
+				},
+			},
+		})
+		begun := time.Now()
+		go o.watchJobs(ctx, 0)
+		m, ok := (<-o.inbox).(itemsWritten)
+		require.True(t, ok)
+		require.Len(t, m.items, 100)
+		require.Less(t, time.Since(begun), time.Second)
+		cancel()
+		close(o.done)
+		synctest.Wait()
+	})
+}
+
+// Keys of cancellations written by earlier builds are read as well.
+func TestSplitKey(t *testing.T) {
+	for key, want := range map[string]bool{JobKey("a", "1f"): false, CancelKey("a", "1f"): true, FormerCancelKey("a", "1f"): true} {
+		id, cancel := splitKey("a", key)
+		require.Equal(t, "1f", id)
+		require.Equal(t, want, cancel, key)
+	}
+}
