owner, agent: say the order of a worker's first answer, drop a struct of clocks

Read as a newcomer: whether a lease had lapsed before a worker's first answer was read in the same assignment that notes the answer, which it depends on; it is a statement of its own now. A worker that is dropped as it is idle and no longer registered is remembered like one that was given up if its lease is over, so that its withheld ends are acknowledged when it comes back. agent.cancelled has its two clock functions as fields.

--- a/agent/cancel.go
+++ b/agent/cancel.go
@@ -37,7 +37,8 @@
 // are under leases that nobody renews, so that the store removes them, and that do not end with
 // the entry.
 type cancelled struct {
-	clock     sinceClock
+	sinceBoot func() time.Duration // counts suspensions
+	pause     func(ctx context.Context, d time.Duration)
 	commit    func(ctx context.Context, t plat.Txn) ([]plat.Item, error)
 	grant     func(ctx context.Context, ttl time.Duration) (int64, error)
 	retention func() time.Duration // of the state of an ended job
@@ -52,12 +53,6 @@
 	grantedAt time.Duration
 }
 
-// sinceClock has the clocks of cancelled.
-type sinceClock struct {
-	sinceBoot func() time.Duration // counts suspensions
-	pause     func(ctx context.Context, d time.Duration)
-}
-
 // cancelledBatch is a set of cancellations that share a write. err is set before done is closed.
 type cancelledBatch struct {
 	ids  []string
@@ -121,7 +116,7 @@
 	for b := c.take(); b != nil; b = c.take() {
 		b.err = c.put(ctx, b.ids)
 		close(b.done)
-		c.clock.pause(ctx, cancelledGap)
+		c.pause(ctx, cancelledGap)
 	}
 }
 
@@ -151,7 +146,7 @@
 // renewLease replaces the lease once it is too short for another cancellation.
 func (c *cancelled) renewLease(ctx context.Context) error {
 	keep := c.keepTime()
-	begun := c.clock.sinceBoot()
+	begun := c.sinceBoot()
 	if c.lease != 0 && begun-c.grantedAt < keep {
 		return nil
 	}
--- a/agent/cancel_test.go
+++ b/agent/cancel_test.go
@@ -179,7 +179,8 @@
 	r := &cancelledRig{kv: fakes.NewKV()}
 	begun := time.Now()
 	r.cancelled = &cancelled{
-		clock: sinceClock{func() time.Duration { return time.Since(begun) }, func(_ context.Context, d time.Duration) { time.Sleep(d) }},
+		sinceBoot: func() time.Duration { return time.Since(begun) },
+		pause:     func(_ context.Context, d time.Duration) { time.Sleep(d) },
 		commit: func(ctx context.Context, t plat.Txn) ([]plat.Item, error) {
 			_, items, err := r.kv.Commit(ctx, t)
 			return items, err
--- a/agent/jobapi.go
+++ b/agent/jobapi.go
@@ -57,7 +57,7 @@
 		cancelledUnknown: metrics.NewRegisteredCounter("desk.cancelled.unknown", a.registry),
 	}
 	api.cancelled = &cancelled{
-		clock: sinceClock{sinceBoot, a.pause}, commit: api.commit, grant: a.writer.Grant,
+		sinceBoot: sinceBoot, pause: a.pause, commit: api.commit, grant: a.writer.Grant,
 		retention: func() time.Duration { return a.currentSettings().Bounds.StatusRetention },
 	}
 	return api
--- a/owner/host.go
+++ b/owner/host.go
@@ -318,6 +318,9 @@
 	for _, h := range o.hosts {
 		switch {
 		case h.answered && !h.listed && len(h.runs) == 0:
+			if h.leaseExpired(now, o.pollsSince) {
+				o.recordLapsed(h, now)
+			}
 			o.endIncarnation(h, "not registered and idle")
 			o.announceTokenAt(h)
 		case h.answered && h.failingSince.IsZero():
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -167,7 +167,8 @@
 	}
 	lapsed := false
 	if !h.answered {
-		h.answered, lapsed = true, o.lapsedBefore(h, &m)
+		lapsed = o.lapsedBefore(h, &m)
+		h.answered = true
 		o.enterRoster(h)
 		o.passNeeded = true
 		h.leaseUntil = max(h.leaseUntil, m.report.ClockMs+o.inheritedLease(h, now).Milliseconds())
