owner: play workers that are given up and come back in the model

TestModelCutWorkers cuts workers off, from the store as well, and kills owners; TestModelCatches shows that the model notices an owner that acknowledges ends as soon as they are listed.

--- a/owner/lapse_test.go
+++ b/owner/lapse_test.go
@@ -29,7 +29,7 @@
 	pool := withoutFaults(t, 0, func(ctx context.Context, pool *testPool) {
 		p := &cutWorker{testPool: pool}
 		pool.mu.Lock()
-		pool.list = p.reachable
+		pool.list = pool.reachable
 		pool.log.Writer = log.IOWriter{Writer: &logged}
 		pool.mu.Unlock()
 		pool.workers.DecideRun = func(runs.Task, int) (time.Duration, runs.Outcome) { return 400 * time.Millisecond, runs.Done }
@@ -50,19 +50,6 @@
 	return logged.String()
 }
 
-// reachable lists the workers whose entries the store has: a worker that is cut off loses its entry.
-func (p *cutWorker) reachable() []hosts.Worker {
-	out := p.workers.Registered()
-	n := 0
-	for _, w := range out {
-		if !p.workers.Unreachable(w.ID) {
-			out[n] = w
-			n++
-		}
-	}
-	return out[:n]
-}
-
 // load hands in jobs for a time, fifteen subtasks a second for each kind.
 func (p *cutWorker) load(d time.Duration) {
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
--- a/owner/model_test.go
+++ b/owner/model_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -282,6 +283,32 @@
 	}
 }
 
+// TestModelCutWorkers does the same while workers are cut off again and again, from the store
+// as well, so that they are given up and come back, and owners are killed.
+func TestModelCutWorkers(t *testing.T) {
+	for seed := range seeds() / 2 {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			pool := run(t, seed, cutWorkers)
+			require.Empty(t, pool.workers.Violations())
+			pool.requireJobsEnded(t)
+		})
+	}
+}
+
+func cutWorkers(pool *testPool) {
+	cut := func(_ context.Context, pool *testPool) {
+		list := pool.workers.Registered()
+		id := list[pool.rand.IntN(len(list))].ID
+		pool.workers.SetUnreachable(id, true)
+		time.AfterFunc(time.Duration(3000+pool.rand.IntN(6000))*time.Millisecond, func() { pool.workers.SetUnreachable(id, false) })
+	}
+	pool.list = pool.reachable
+	pool.failures = map[string]func(context.Context, *testPool){
+		"cut a worker off": cut, "cut another one off": cut, "cut one more off": cut,
+		"kill the owner": failures["kill the owner"],
+	}
+}
+
 // crashRegressions are seeds of the runs with crashes that have failed once by chance, with
 // the cause.
 var crashRegressions = []uint64{
@@ -338,6 +365,23 @@
 // TestModelCatches checks that the model detects a missing safeguard.
 func TestModelCatches(t *testing.T) {
 	for name, prepare := range map[string]func(pool *testPool){
+		"ends that are acknowledged as soon as they are listed": func(pool *testPool) {
+			cutWorkers(pool)
+			var mu sync.Mutex
+			listed := map[string]int64{}
+			pool.renew = func(ctx context.Context, to runs.Target, n runs.Renew) (runs.Report, error) {
+				mu.Lock()
+				n.AckedThrough = max(n.AckedThrough, listed[to.ID])
+				mu.Unlock()
+				r, err := pool.workers.Renew(ctx, to, n)
+				mu.Lock()
+				defer mu.Unlock()
+				for _, e := range r.Ended {
+					listed[to.ID] = max(listed[to.ID], e.Number)
+				}
+				return r, err
+			}
+		},
 		"job states that are not written": func(pool *testPool) {
 			pool.commit = func(ctx context.Context, t plat.Txn) (int64, []plat.Item, error) {
 				kept := t
--- a/owner/pool_test.go
+++ b/owner/pool_test.go
@@ -163,6 +163,19 @@
 	}
 }
 
+// reachable lists the workers whose entries the store has: a worker that is cut off loses its entry.
+func (pool *testPool) reachable() []hosts.Worker {
+	out := pool.workers.Registered()
+	n := 0
+	for _, w := range out {
+		if !pool.workers.Unreachable(w.ID) {
+			out[n] = w
+			n++
+		}
+	}
+	return out[:n]
+}
+
 // startEntry starts an entry, which takes part in the pool's election.
 func (pool *testPool) startEntry(ctx context.Context, name string) {
 	ctx, stop := context.WithCancel(ctx)
