owner: look for workers that must rest only while ends are withheld

An owner of hundreds of workers went through them twice more in each round of its loop. The owner counts its withheld ends and returns at once while there is none.

--- a/owner/host.go
+++ b/owner/host.go
@@ -289,7 +289,7 @@
 		}
 	}
 	delete(o.hosts, h.id)
-	o.Stats.Withheld.Dec(int64(h.withheld))
+	o.countWithheld(h, -h.withheld)
 	o.blockUnansweredStarts(h)
 	if o.inRoster(h) {
 		o.markChanged(o.roster)
--- a/owner/lapse.go
+++ b/owner/lapse.go
@@ -78,16 +78,25 @@
 	if released == 0 {
 		return
 	}
-	h.withheld -= released
-	o.Stats.Withheld.Dec(int64(released))
+	o.countWithheld(h, -released)
 	o.Log.Info().Str("pool", o.Pool).Str("host", h.id).Int("ends", released).Int("left", h.withheld).Int64("through", h.lapsedThrough).
 		Msg("withheld ends may be acknowledged: the lease has lapsed since")
 }
 
+// countWithheld adds to the number of ends that are withheld from a worker.
+func (o *Owner) countWithheld(h *host, n int) {
+	h.withheld += n
+	o.withheld += n
+	o.Stats.Withheld.Inc(int64(n))
+}
+
 // restWorkers takes workers with many withheld ends out of use until their leases lapse, as
 // only then their ends can be acknowledged. All of them at once would leave the pool without
 // workers: the first rests at half of the limit.
 func (o *Owner) restWorkers() {
+	if o.withheld == 0 && o.resting == 0 {
+		return
+	}
 	resting := 0
 	for _, h := range o.hosts {
 		if h.resting && h.withheld == 0 {
@@ -107,6 +116,7 @@
 		o.Log.Warn().Str("pool", o.Pool).Str("host", h.id).Int("withheld", h.withheld).Int("unacked", len(h.unacked)).Int("runs", len(h.runs)).
 			Msg("worker gets no starts until its lease lapses: too many ends are withheld")
 	}
+	o.resting = resting
 }
 
 // stopOnResting stops long-running subtasks on resting workers, one at a time, if another
@@ -125,12 +135,8 @@
 	}
 }
 
-// forgetHosts takes the workers of an owner that ends out of the metrics.
-func (o *Owner) forgetHosts() {
-	for _, h := range o.hosts {
-		o.Stats.Withheld.Dec(int64(h.withheld))
-	}
-}
+// forgetWithheld takes the withheld ends of an owner that ends out of the metrics.
+func (o *Owner) forgetWithheld() { o.Stats.Withheld.Dec(int64(o.withheld)) }
 
 // needsLease reports whether the lease of a worker is to be extended. Runs that a full list
 // of ends leaves out may be over, and are if the worker reports no active run.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -130,6 +130,9 @@
 	former    formerRecords
 	refusals  map[string]*refusal    // by worker ID
 	lapsed    map[string]lapsedLease // by worker ID
+	// withheld is the number of ends that are withheld from workers, and resting the number of
+	// workers that rest.
+	withheld, resting int
 	// demand is the CPU that running, waiting and expected work needs, and
 	// publishedDemand the one in the last digest, both in thousandths of a core.
 	demand, publishedDemand int
@@ -234,7 +237,7 @@
 	defer cancel()
 	o.ctx = ctx
 	o.startedAt = o.Clock.Now()
-	defer o.forgetHosts()
+	defer o.forgetWithheld()
 	rev, err := o.restore(ctx)
 	if err != nil {
 		return err
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -269,8 +269,7 @@
 	withhold := e.Number > h.lapsedThrough
 	h.unacked = append(h.unacked, pendingAck{number: e.Number, withheld: withhold})
 	if withhold {
-		h.withheld++
-		o.Stats.Withheld.Inc(1)
+		o.countWithheld(h, 1)
 	}
 	o.Log.Warn().Str("task", e.Task.String()).Int("run", e.Run).Str("host", h.id).Int64("number", e.Number).Bool("withheld", withhold).
 		Msg("ignoring the end of a superseded run")
