owner: count the advisor's tickets, and those that ran out or were used

The line now says for how long the tickets can be used, and three counters tell tickets that arrive too late from those that no start has carried.

--- a/owner/act.go
+++ b/owner/act.go
@@ -274,7 +274,7 @@
 		Task: p.task.ID, Run: p.run, Payload: p.job.progress.Job.Payload, UntilMs: p.leaseUntil, Fence: o.Fence, Checkpoint: p.task.Checkpoint,
 	}
 	if p.job.progress.Job.Advisor != nil {
-		s.Ticket = p.job.adviceOn(p.task.ID.ParentStep()).ticket(h, o.Clock.Now())
+		s.Ticket = o.useTicket(h, p, p.startSentAt)
 	}
 	to, delay := h.target(), h.copyDelay(p.startSentAt)
 	within := tryTimeout(max(p.tries, h.failedPolls), delay)
--- a/owner/advice.go
+++ b/owner/advice.go
@@ -37,6 +37,7 @@
 	startedMs int64     // start of the incarnation, in Unix milliseconds
 	ticket    string    // empty if the worker may not run the step
 	until     time.Time // end of the ticket's use
+	used      bool      // a start has carried the ticket
 }
 
 // adviceResult is a question to the advisor and its answer.
@@ -161,11 +162,27 @@
 	}
 	until := m.sent.Add(ticketValidity(m.job) - ticketMargin)
 	for i, id := range m.question.Workers {
-		a.verdicts[id] = verdict{m.startedMs[i], m.tickets[id], until}
+		a.verdicts[id] = verdict{startedMs: m.startedMs[i], ticket: m.tickets[id], until: until}
+	}
+	o.Stats.Tickets.Inc(int64(len(m.tickets)))
+	if !now.Before(until) {
+		o.Stats.TicketsLate.Inc(int64(len(m.tickets)))
 	}
 	o.passNeeded = true
 	o.Log.Info().Str("step", m.question.Step.String()).Int("workers", len(m.question.Workers)).Int("allowed", len(m.tickets)).
-		Dur("took", now.Sub(m.sent)).Msg("advisor answered")
+		Dur("took", now.Sub(m.sent)).Dur("valid", until.Sub(now)).Msg("advisor answered")
+}
+
+// useTicket returns the ticket for a start, or "" if there is none that holds.
+func (o *Owner) useTicket(h *host, p *placement, now time.Time) string {
+	a := p.job.adviceOn(p.task.ID.ParentStep())
+	ticket := a.ticket(h, now)
+	if v := a.verdicts[h.id]; ticket != "" && !v.used {
+		v.used = true
+		a.verdicts[h.id] = v
+		o.Stats.TicketsUsed.Inc(1)
+	}
+	return ticket
 }
 
 // dropTicket drops a ticket that a worker has refused.
--- a/owner/stats.go
+++ b/owner/stats.go
@@ -16,6 +16,9 @@
 	Commits, CommitsFailed     metrics.Counter
 	WatchesFailed              metrics.Counter
 	Questions, QuestionsFailed metrics.Counter // to the advisor
+	// Tickets are those of the advisor's answers, TicketsLate those that had run out on
+	// arrival, and TicketsUsed those that a start has carried.
+	Tickets, TicketsLate, TicketsUsed metrics.Counter
 	// Wait is the time from a job's acceptance to its first start, Commit the
 	// duration of a write to the store, both in microseconds.
 	Wait, Commit metrics.Histogram
@@ -39,6 +42,7 @@
 		Ends: counter("ends"), EndsFailed: counter("ends.failed"), Withheld: counter("ends.withheld"), RunsLost: counter("runs.lost"), CrashesGivenUp: counter("crashes.givenup"), Jobs: counter("jobs"), Cancels: counter("cancels"),
 		Commits: counter("commits"), CommitsFailed: counter("commits.failed"), WatchesFailed: counter("watches.failed"),
 		Questions: counter("questions"), QuestionsFailed: counter("questions.failed"),
+		Tickets: counter("tickets"), TicketsLate: counter("tickets.late"), TicketsUsed: counter("tickets.used"),
 		Wait: histogram("wait"), Commit: histogram("commit"),
 	}
 }
