owner: ask the advisor one question at a time for all pools of an entry

Cause: a ticket counts from the sending of its question, as nothing tells when the advisor issued it. The advisor handles the calls of an entry one at a time, but each owner had two questions under way and each named all workers with room: a question waited for up to three others, in a line of our own making, until its tickets had run out on arrival. The step was still first in order, so it was asked about again at once, in all pools, for ever.

Ruled out: tickets lost on the way, and starts that workers refused (none sent).

Change: the owners of an entry share a line (package advice) that grants one turn at a time, shared by time and first to steps that could start. A pool chooses its question when its turn has come, so nothing ages in the line. A question names the workers that bring a ticket of use for the least time of the advisor, by the share of workers allowed so far; workers that were allowed before are asked about first. A question is withdrawn when nothing waits for it any more, or when it was asked ahead of its step's turn and another step could start. Failures pause the line, up to a second. A ticket that may have run out on arrival is tried once, with a growing pause of the queue if it is refused; log line and metrics tell.

Why it works: with one question under way, the time from its sending to its answer is that of the question alone, and so is what its tickets lose.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -18,6 +18,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"golang.org/x/net/netutil"
 
+	"shallotpaddle/advice"
 	"shallotpaddle/elect"
 	"shallotpaddle/fleet"
 	"shallotpaddle/hedge"
@@ -65,6 +66,7 @@
 	workers *platform.Workers
 	fleet   *platform.Fleet
 	advisor *platform.Advisor
+	advice  *advice.Line // for the advisor
 	stats   *owner.Stats
 	jobAPI  *jobAPI
 	// registrations is used by the goroutine of pollWorkers only.
@@ -96,7 +98,7 @@
 	a := &Agent{
 		metricsAddress: metricsAddress, clock: clock, log: logger, registry: metrics.NewRegistry(),
 		store: platform.NewStore(set.StoreAddress, clock), workers: platform.NewWorkers(), fleet: platform.NewFleet(set.FleetAddress),
-		advisor: platform.NewAdvisor(set.AdvisorAddress),
+		advisor: platform.NewAdvisor(set.AdvisorAddress), advice: advice.New(clock),
 		runners: map[string]*runner{}, waves: map[string]fleet.Wave{}, ownerAdded: make(chan struct{}, 1),
 	}
 	a.settings.Store(set)
@@ -268,7 +270,7 @@
 			Start: a.workers.Start, Stop: a.workers.Stop, Renew: a.workers.Renew, Pace: a.workers.Pace,
 		},
 		ReadPlan:   func(ctx context.Context) (owner.PoolPlan, error) { return a.readPoolPlan(ctx, t.Pool) },
-		AskAdvisor: a.advisor.Ask, Proven: a.elector.Proven, SinceBoot: sinceBoot,
+		AskAdvisor: a.advisor.Ask, Advice: a.advice, Proven: a.elector.Proven, SinceBoot: sinceBoot,
 		Clock: a.clock, Log: a.log, Stats: a.stats,
 	})
 	a.addRunner(t, o, stop)
--- a/fakes/workerset.go
+++ b/fakes/workerset.go
@@ -21,6 +21,9 @@
 type WorkerSet struct {
 	// DecideRun returns how long a run takes and how it ends.
 	DecideRun func(t runs.Task, run int) (time.Duration, runs.Outcome)
+	// MayRun reports whether the advisor allows a step on a worker; nil stands for about three of
+	// four workers, always the same ones.
+	MayRun func(s runs.Step, worker string) bool
 	// InjectFault returns the fault of a call to a worker, or to the advisor under the
 	// name "advisor"; nil stands for NoFault.
 	InjectFault func(worker string, op string) CallFault
--- a/owner/act.go
+++ b/owner/act.go
@@ -44,6 +44,7 @@
 func (o *Owner) scheduleStarts(now time.Time) {
 	cands, candHosts := o.candidates(now)
 	if len(cands) == 0 {
+		o.requestAdvice(nil, nil, nil, now)
 		return
 	}
 	ordered := o.jobsInOrder(now)
@@ -366,7 +367,7 @@
 		Err(err).Msg("start refused")
 	switch {
 	case errors.Is(err, runs.ErrTicket):
-		o.dropTicket(h, p)
+		o.ticketRefused(h, p, now)
 	default:
 		h.noRoomUntil = later(h.noRoomUntil, now.Add(noRoomPause))
 	}
--- a/owner/advice_test.go
+++ b/owner/advice_test.go
@@ -50,5 +50,5 @@
 	r.scheduleStarts(r.clock.Now())
 	require.Equal(t, "ticket", (<-starts).Ticket)
 	r.handle(<-r.inbox)
-	require.Zero(t, r.questionsInFlight)
+	require.Nil(t, r.asked)
 }
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -32,7 +32,7 @@
 	// criticalPath is the greatest length of the job's critical path so far.
 	criticalPath time.Duration
 	// advice has the advisor's answers, by step.
-	advice map[runs.Step]*advice
+	advice map[runs.Step]*stepAdvice
 }
 
 func (j *job) id() string { return j.progress.Job.ID }
--- a/owner/oddentry_test.go
+++ b/owner/oddentry_test.go
@@ -13,13 +13,14 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
+	"shallotpaddle/advice"
 	"shallotpaddle/plat"
 )
 
 // newReader returns an owner that reads items from the store.
 func newReader(items ...plat.Item) *Owner {
 	return New(Params{
-		Pool: "a", Clock: quartz.NewReal(), Log: &log.Logger{Level: log.PanicLevel}, Stats: NewStats(metrics.NewRegistry()),
+		Pool: "a", Clock: quartz.NewReal(), Log: &log.Logger{Level: log.PanicLevel}, Stats: NewStats(metrics.NewRegistry()), Advice: advice.New(quartz.NewReal()),
 		Proven: func() bool { return true }, ReadPlan: func(context.Context) (PoolPlan, error) { return PoolPlan{}, nil },
 		Store: Store{List: func(_ context.Context, prefix string) ([]plat.Item, int64, error) {
 			var out []plat.Item
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -18,6 +18,7 @@
 	"github.com/coder/quartz"
 	"github.com/phuslu/log"
 
+	"shallotpaddle/advice"
 	"shallotpaddle/hosts"
 	"shallotpaddle/pack"
 	"shallotpaddle/plat"
@@ -80,9 +81,11 @@
 	// AskAdvisor returns a ticket for each worker that the advisor lets run a step,
 	// by worker. It gives up after the time in within.
 	AskAdvisor func(ctx context.Context, q runs.AdvisorQuery, within time.Duration) (map[string]string, error)
-	Clock      quartz.Clock
-	Log        *log.Logger
-	Stats      *Stats
+	// Advice is the line for the advisor, which all owners of the entry share.
+	Advice *advice.Line
+	Clock  quartz.Clock
+	Log    *log.Logger
+	Stats  *Stats
 }
 
 // Owner is the elected owner of a pool. Only the goroutine in Run uses the
@@ -143,10 +146,17 @@
 	unanswered map[string][]*unansweredStart
 	// lateOrders has the orders without an answer that a later incarnation of a worker might
 	// carry out, by worker ID.
-	lateOrders        map[string][]*lateOrders
-	forgottenAt       time.Time // when orders were last dropped from the two
-	questionsInFlight int       // to the advisor
-	callsInFlight     int       // starts and stops
+	lateOrders    map[string][]*lateOrders
+	forgottenAt   time.Time // when orders were last dropped from the two
+	callsInFlight int       // starts and stops
+	// seat is the pool's place in the line for the advisor, and asked its question there, nil
+	// if none is under way. turnEnded tells how the last one has ended until its turn is given
+	// back. waitsSince is when the pool began to wait for a turn, or zero.
+	seat       *advice.Seat
+	asked      *question
+	turnEnded  *advice.Outcome
+	waitsSince time.Time
+	queues     map[string]*queueAdvice // by name
 	// callsLost tells that many workers at work have lost calls lately.
 	callsLost bool
 	// trialsWait tells that in the last scheduling pass a subtask that may have crashed a
@@ -179,7 +189,9 @@
 	o := &Owner{
 		Params: p, inbox: make(chan any, inboxSize), done: make(chan struct{}), hosts: map[string]*host{}, jobs: map[string]*job{},
 		cancelRequests: map[string]time.Time{}, forecasts: map[string]*pack.Forecast{}, inflows: map[string]*shift.Inflow{}, unanswered: map[string][]*unansweredStart{}, lateOrders: map[string][]*lateOrders{}, trialHosts: map[*steps.Task]*host{}, strays: map[*steps.Task]int{}, refusals: map[string]*refusal{}, lapsed: map[string]lapsedLease{},
+		queues: map[string]*queueAdvice{},
 	}
+	o.seat = p.Advice.Join(func() { o.post(turnGranted{}) }, func() { o.post(turnRecalled{}) })
 	o.roster = &doc{key: rosterKey(p.Pool), encode: o.encodeRoster}
 	o.digest = &doc{key: DigestKey(p.Pool), encode: o.encodeDigest}
 	return o
@@ -238,6 +250,7 @@
 	o.ctx = ctx
 	o.startedAt = o.Clock.Now()
 	defer o.forgetWithheld()
+	defer o.seat.Leave()
 	rev, err := o.restore(ctx)
 	if err != nil {
 		return err
@@ -297,6 +310,10 @@
 		o.handleClaim(m)
 	case commitResult:
 		o.handleCommitted(m)
+	case turnGranted:
+		o.passNeeded = true
+	case turnRecalled:
+		o.recallTurn()
 	case adviceResult:
 		o.handleAdvice(m)
 	case paceResult:
--- a/owner/pool_test.go
+++ b/owner/pool_test.go
@@ -16,6 +16,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
+	"shallotpaddle/advice"
 	"shallotpaddle/elect"
 	"shallotpaddle/fakes"
 	"shallotpaddle/hedge"
@@ -58,10 +59,16 @@
 	activeAtEnd map[string]int // number of active runs at the end, by job
 	// failures are the failures that run injects, instead of the usual ones.
 	failures map[string]func(ctx context.Context, pool *testPool)
-	// advised makes submitted jobs need tickets of the advisor.
+	// advised makes submitted jobs need tickets of the advisor, within advisor unless that is
+	// nil.
 	advised bool
+	advisor *steps.AdvisorTiming
+	// turn and line are shared with pools of the same entry; nil unless there are some.
+	turn *fakes.AdvisorTurn
+	line *advice.Line
 	// repeats makes entries repeat overdue writes to the store.
 	repeats bool
+	stats   *owner.Stats // of the owners of the pool
 	// retention is how long ended jobs are kept.
 	retention time.Duration
 }
@@ -79,6 +86,9 @@
 	deaf bool
 	// cutFrom has the workers that the entry can't reach.
 	cutFrom map[string]bool
+	// turn is the entry's turn at the advisor, line its line for it.
+	turn *fakes.AdvisorTurn
+	line *advice.Line
 }
 
 // hears waits until the entry hears of elections.
@@ -130,7 +140,7 @@
 func newTestPool(t *testing.T, seed uint64) *testPool {
 	pool := &testPool{
 		t: t, rand: rand.New(rand.NewPCG(seed, 7)), kv: fakes.NewKV(), workers: fakes.NewWorkerSet(holdMax),
-		entries: map[string]*entry{}, cancels: map[string]bool{}, activeAtEnd: map[string]int{}, retention: time.Hour,
+		entries: map[string]*entry{}, stats: owner.NewStats(metrics.NewRegistry()), cancels: map[string]bool{}, activeAtEnd: map[string]int{}, retention: time.Hour,
 		log: &log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: io.Discard}},
 	}
 	if os.Getenv("MODEL_LOG") != "" {
@@ -179,7 +189,10 @@
 // startEntry starts an entry, which takes part in the pool's election.
 func (pool *testPool) startEntry(ctx context.Context, name string) {
 	ctx, stop := context.WithCancel(ctx)
-	e := &entry{name: name, stop: stop}
+	e := &entry{name: name, stop: stop, turn: pool.turn, line: pool.line}
+	if e.turn == nil {
+		e.turn, e.line = fakes.NewAdvisorTurn(), advice.New(quartz.NewReal())
+	}
 	cutOr := func(err error) error {
 		pool.mu.Lock()
 		defer pool.mu.Unlock()
@@ -264,13 +277,13 @@
 		Bounds:     owner.Bounds{MaxLease: holdMax, StopTime: 200 * time.Millisecond, Drain: 2 * time.Second, StatusRetention: pool.retention},
 		Store:      owner.Store{List: store.List, Watch: store.Watch, Commit: store.Commit},
 		Workers:    pool.orders(e),
-		AskAdvisor: pool.workers.Ask, Proven: e.elect.Proven, SinceBoot: func() time.Duration { return time.Duration(time.Now().UnixNano()) },
+		AskAdvisor: pool.workers.AskIn(e.turn), Advice: e.line, Proven: e.elect.Proven, SinceBoot: func() time.Duration { return time.Duration(time.Now().UnixNano()) },
 		ReadPlan: func(context.Context) (owner.PoolPlan, error) {
 			pool.mu.Lock()
 			defer pool.mu.Unlock()
 			return pool.plan, nil
 		},
-		Clock: quartz.NewReal(), Log: pool.log, Stats: owner.NewStats(metrics.NewRegistry()),
+		Clock: quartz.NewReal(), Log: pool.log, Stats: pool.stats,
 	})
 	pool.mu.Lock()
 	e.owner, e.stopOwner = o, end
@@ -334,7 +347,10 @@
 	pool.mu.Unlock()
 	j.Accepted = time.Now().UnixMilli()
 	if pool.advised {
-		j.Advisor = &steps.AdvisorTiming{AnswerMs: 40, PerWorkerMs: 2, TicketValidMs: 3000}
+		j.Advisor = pool.advisor
+		if j.Advisor == nil {
+			j.Advisor = &steps.AdvisorTiming{AnswerMs: 40, PerWorkerMs: 2, TicketValidMs: 3000}
+		}
 	}
 	pool.workers.AddJob(j)
 	b, err := json.Marshal(j)
--- a/owner/release_test.go
+++ b/owner/release_test.go
@@ -13,6 +13,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
+	"shallotpaddle/advice"
 	"shallotpaddle/hosts"
 	"shallotpaddle/plat"
 	"shallotpaddle/runs"
@@ -34,7 +35,7 @@
 	r.Owner = New(Params{
 		Pool: "a", Clock: r.clock, Bounds: Bounds{StopTime: 400 * time.Millisecond, MaxLease: time.Minute},
 		Log:   &log.Logger{Writer: log.IOWriter{Writer: io.Discard}},
-		Stats: NewStats(metrics.NewRegistry()), Proven: func() bool { return true },
+		Stats: NewStats(metrics.NewRegistry()), Proven: func() bool { return true }, Advice: advice.New(r.clock),
 		SinceBoot: func() time.Duration { return time.Duration(r.clock.Now().UnixNano()) },
 		Workers: Workers{Stop: func(_ context.Context, _ runs.Target, s runs.Stop) (runs.Reply, error) {
 			r.stops <- s
--- a/owner/stats.go
+++ b/owner/stats.go
@@ -9,19 +9,22 @@
 	Paces                       metrics.Counter // orders to pace
 	Ends, EndsFailed            metrics.Counter
 	// Withheld is the number of ends that are read and withheld from their workers now.
-	Withheld                   metrics.Counter
-	RunsLost                   metrics.Counter // with their workers
-	CrashesGivenUp             metrics.Counter // jobs given up as a subtask crashes workers
-	Jobs, Cancels              metrics.Counter
-	Commits, CommitsFailed     metrics.Counter
-	WatchesFailed              metrics.Counter
-	Questions, QuestionsFailed metrics.Counter // to the advisor
+	Withheld               metrics.Counter
+	RunsLost               metrics.Counter // with their workers
+	CrashesGivenUp         metrics.Counter // jobs given up as a subtask crashes workers
+	Jobs, Cancels          metrics.Counter
+	Commits, CommitsFailed metrics.Counter
+	WatchesFailed          metrics.Counter
+	// Questions are those to the advisor. QuestionsLate are those whose tickets can't be
+	// proved to be valid when they arrive.
+	Questions, QuestionsFailed, QuestionsLate metrics.Counter
 	// Tickets are those of the advisor's answers, TicketsLate those that had run out on
 	// arrival, and TicketsUsed those that a start has carried.
 	Tickets, TicketsLate, TicketsUsed metrics.Counter
 	// Wait is the time from a job's acceptance to its first start, Commit the
-	// duration of a write to the store, both in microseconds.
-	Wait, Commit metrics.Histogram
+	// duration of a write to the store, AdviceWait the time for which a pool waited for its
+	// turn to ask the advisor, all in microseconds.
+	Wait, Commit, AdviceWait metrics.Histogram
 }
 
 // Size and decay of the histograms' reservoir samples.
@@ -41,8 +44,8 @@
 		Paces: counter("paces"), Stops: counter("stops"), Polls: counter("looks"), PollsFailed: counter("looks.failed"),
 		Ends: counter("ends"), EndsFailed: counter("ends.failed"), Withheld: counter("ends.withheld"), RunsLost: counter("runs.lost"), CrashesGivenUp: counter("crashes.givenup"), Jobs: counter("jobs"), Cancels: counter("cancels"),
 		Commits: counter("commits"), CommitsFailed: counter("commits.failed"), WatchesFailed: counter("watches.failed"),
-		Questions: counter("questions"), QuestionsFailed: counter("questions.failed"),
+		Questions: counter("questions"), QuestionsFailed: counter("questions.failed"), QuestionsLate: counter("questions.late"),
 		Tickets: counter("tickets"), TicketsLate: counter("tickets.late"), TicketsUsed: counter("tickets.used"),
-		Wait: histogram("wait"), Commit: histogram("commit"),
+		Wait: histogram("wait"), Commit: histogram("commit"), AdviceWait: histogram("advice.wait"),
 	}
 }
--- a/owner/watch_test.go
+++ b/owner/watch_test.go
@@ -14,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
+	"shallotpaddle/advice"
 	"shallotpaddle/plat"
 )
 
@@ -35,7 +36,7 @@
 				}
 			}
 			o := New(Params{
-				Pool: "a", Clock: quartz.NewReal(), Log: &log.Logger{Level: log.PanicLevel}, Stats: NewStats(metrics.NewRegistry()),
+				Pool: "a", Clock: quartz.NewReal(), Log: &log.Logger{Level: log.PanicLevel}, Stats: NewStats(metrics.NewRegistry()), Advice: advice.New(quartz.NewReal()),
 				Proven: func() bool { return true },
 				Store: Store{
 					Watch: func(ctx context.Context, _ string, _ int64, _ time.Duration) ([]plat.Item, int64, error) {
@@ -69,7 +70,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		perItem := 2 * time.Millisecond
 		o := New(Params{
-			Pool: "a", Clock: quartz.NewReal(), Log: &log.Logger{Level: log.PanicLevel}, Stats: NewStats(metrics.NewRegistry()),
+			Pool: "a", Clock: quartz.NewReal(), Log: &log.Logger{Level: log.PanicLevel}, Stats: NewStats(metrics.NewRegistry()), Advice: advice.New(quartz.NewReal()),
 			Proven: func() bool { return true },
 			Store: Store{
 				Watch: func(context.Context, string, int64, time.Duration) ([]plat.Item, int64, error) {
