owner: ask ahead of a step's turn once, and never where a worker with a ticket has room

A step whose dependencies ran for longer than expected was asked about again with each ticket that ran out, and a step that waited for something else than a ticket was asked about in spare turns. Neither question could start anything.

Tests: the advisor is slow, refuses or is silent for ten seconds; owners end while their questions are under way; wide steps, gangs and limits for each worker; a question whose job is cancelled is withdrawn.

--- a/fakes/advisor.go
+++ b/fakes/advisor.go
@@ -33,10 +33,14 @@
 	return func(ctx context.Context, q runs.AdvisorQuery, timeout time.Duration) (map[string]string, error) {
 		ctx, cancel := context.WithTimeout(ctx, advisorLatency+timeout)
 		defer cancel()
-		switch fault := ws.injectedFault("advisor", "ask"); {
-		case fault == RefuseCall:
+		delay := time.Duration(0)
+		switch ws.injectedFault("advisor", "ask") {
+		case NoFault:
+		case RefuseCall:
 			return nil, errAfter(ctx, workerLatency, plat.ErrUnavailable)
-		case fault != NoFault:
+		case DelayCall:
+			delay = advisorDelay
+		default:
 			<-ctx.Done()
 			return nil, callerGone(ctx)
 		}
@@ -44,15 +48,19 @@
 		if turn.waiting.Add(1) > maxWaitingQuestions {
 			return nil, plat.ErrUnavailable
 		}
-		return ws.answer(ctx, turn, q)
+		return ws.answer(ctx, turn, q, delay)
 	}
 }
 
-// advisorLatency is how much longer than the given time a question may take.
-const advisorLatency = 700 * time.Millisecond
+const (
+	// advisorLatency is how much longer than the given time a question may take.
+	advisorLatency = 700 * time.Millisecond
+	// advisorDelay is how much longer the advisor takes for a question with the fault DelayCall.
+	advisorDelay = 600 * time.Millisecond
+)
 
-// answer answers a question when its turn has come.
-func (ws *WorkerSet) answer(ctx context.Context, turn *AdvisorTurn, q runs.AdvisorQuery) (map[string]string, error) {
+// answer answers a question when its turn has come, and a delay later.
+func (ws *WorkerSet) answer(ctx context.Context, turn *AdvisorTurn, q runs.AdvisorQuery, delay time.Duration) (map[string]string, error) {
 	select {
 	case turn.taken <- struct{}{}:
 		defer func() { <-turn.taken }()
@@ -62,7 +70,7 @@
 	ws.mu.Lock()
 	times, begun := ws.jobs[q.Step.Job].Advisor, time.Now()
 	ws.mu.Unlock()
-	t := time.NewTimer(time.Duration(times.AnswerMs+times.PerWorkerMs*int64(len(q.Workers))) * time.Millisecond)
+	t := time.NewTimer(delay + time.Duration(times.AnswerMs+times.PerWorkerMs*int64(len(q.Workers)))*time.Millisecond)
 	defer t.Stop()
 	select {
 	case <-t.C:
--- a/owner/advice.go
+++ b/owner/advice.go
@@ -251,9 +251,9 @@
 		}
 		j.progress.EachUpcoming(now, func(t *steps.Task, reached bool) {
 			switch {
-			case ready != nil || !o.wantsAdvice(j, t, now):
-			case !reached && !o.mayAskEarly(j, t.Step):
-			case !reached || maxQuestion(j) == 0 || !o.roomAsked(j, t, cands, candHosts, now):
+			case ready != nil || !o.wantsAdvice(j, t, now) || o.mayStart(t, cands, candHosts, now):
+			case !reached && !o.mayAskEarly(j, t):
+			case !reached || maxQuestion(j) == 0 || !o.roomWithoutTicket(j, t, cands, candHosts, now):
 				early = append(early, t)
 			default:
 				ready = o.questionAbout(t, advice.Ready, cands, candHosts, now)
@@ -288,12 +288,14 @@
 	return n
 }
 
-// roomAsked reports whether a worker that needs a ticket has room for a subtask, and none that
-// has one.
-func (o *Owner) roomAsked(j *job, t *steps.Task, cands []pack.Worker, candHosts []*host, now time.Time) bool {
-	if !t.Step.Gang && !t.Suspect() && o.chooseHost(t, o.advisedDemandOf(t, now), cands, candHosts) >= 0 {
-		return false // it starts without a question
-	}
+// mayStart reports whether a worker with a ticket has room for a subtask, which then waits for
+// something else.
+func (o *Owner) mayStart(t *steps.Task, cands []pack.Worker, candHosts []*host, now time.Time) bool {
+	return !t.Step.Gang && !t.Suspect() && o.chooseHost(t, o.advisedDemandOf(t, now), cands, candHosts) >= 0
+}
+
+// roomWithoutTicket reports whether a worker that needs a ticket has room for a subtask.
+func (o *Owner) roomWithoutTicket(j *job, t *steps.Task, cands []pack.Worker, candHosts []*host, now time.Time) bool {
 	return len(pack.WorkersToAsk(demandOf(t), cands, o.ticketOdds(j, t, candHosts, 1, now), false, 1)) > 0
 }
 
@@ -311,10 +313,13 @@
 	}
 }
 
-// mayAskEarly reports whether tickets for a step are valid for long enough to be
-// requested before the steps that it depends on have ended.
-func (o *Owner) mayAskEarly(j *job, s *steps.Step) bool {
-	for _, a := range s.After {
+// mayAskEarly reports whether tickets for a step are valid for long enough to be requested before
+// the steps that it depends on have ended. They are requested once.
+func (o *Owner) mayAskEarly(j *job, t *steps.Task) bool {
+	if len(j.adviceOn(t.ID.ParentStep()).verdicts) > 0 {
+		return false
+	}
+	for _, a := range t.Step.After {
 		if 2*o.expectedRunTime(j, &j.progress.Job.Steps[a]) > ticketUse(j, maxWorkersAsked) {
 			return false
 		}
--- a/owner/advice_test.go
+++ b/owner/advice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -52,3 +53,29 @@
 	r.handle(<-r.inbox)
 	require.Nil(t, r.asked)
 }
+
+// A question about a step that nothing waits for any more is withdrawn, and its turn given back.
+func TestAdviceWithdrawn(t *testing.T) {
+	r := newRig(t)
+	r.rows[0].releaseTask = 0
+	for _, h := range r.rows {
+		h.listed, h.answered, h.worker.Capacity.CPU, h.worker.Capacity.Mem = true, true, 8000, 8000
+	}
+	asked := make(chan runs.AdvisorQuery, 9)
+	r.AskAdvisor = func(ctx context.Context, q runs.AdvisorQuery, _ time.Duration) (map[string]string, error) {
+		asked <- q
+		<-ctx.Done()
+		return nil, fmt.Errorf("%w: %w", plat.ErrUnknown, ctx.Err())
+	}
+	for _, id := range []string{"a", "b"} {
+		r.addJob(&steps.Job{ID: id, Advisor: &steps.AdvisorTiming{AnswerMs: 10}, Steps: []steps.Step{{Count: 1, CPU: 100}}}, true)
+	}
+	r.scheduleStarts(r.clock.Now())
+	require.Equal(t, "a", (<-asked).Step.Job)
+	r.cancelJob("a")
+	r.scheduleStarts(r.clock.Now())
+	r.handle(<-r.inbox)
+	r.scheduleStarts(r.clock.Now())
+	require.Equal(t, "b", (<-asked).Step.Job)
+	require.Zero(t, r.Stats.QuestionsFailed.Count())
+}
--- a/owner/advised_test.go
+++ b/owner/advised_test.go
@@ -28,6 +28,8 @@
 	workers       int
 	longest, rest time.Duration // of a run; after the load until all jobs must have ended
 	slowPool      bool          // the advisor takes too long for the tickets of the last pool
+	step          steps.Step    // of each job; two subtasks that run for longest if it has none
+	meanwhile     func(ctx context.Context, pools []*testPool)
 }
 
 func (l advisedLoad) String() string {
@@ -53,13 +55,19 @@
 			pools = append(pools, pool)
 		}
 		time.Sleep(3 * time.Second)
+		if l.step.Count == 0 {
+			l.step = steps.Step{Count: 2, CPU: 500, Mem: 100, EstimateMs: l.longest.Milliseconds()}
+		}
+		if l.meanwhile != nil {
+			go l.meanwhile(ctx, pools)
+		}
 		var handIns sync.WaitGroup
 		for p, pool := range pools {
 			handIns.Go(func() {
 				for n := range int(l.lasts / l.every) {
 					pool.submit(&steps.Job{
 						ID: fmt.Sprintf("%08x%08x", p, n), Queue: "q", MaxAttempts: 3, SlackFactor: 1.6, TargetMs: 600,
-						Steps: []steps.Step{{Count: 2, CPU: 500, Mem: 100, EstimateMs: l.longest.Milliseconds()}},
+						Steps: []steps.Step{l.step},
 					})
 					time.Sleep(l.every)
 				}
@@ -166,10 +174,10 @@
 	}
 }
 
-// An advisor that refuses all questions, or answers none, for ten seconds stops the pools of an
+// An advisor that refuses all questions, answers none, or is slow for ten seconds stops the pools of an
 // entry for little longer than that.
 func TestAdvisedPoolsOutlastAdvisor(t *testing.T) {
-	for name, fault := range map[string]fakes.CallFault{"refuses": fakes.RefuseCall, "silent": fakes.DropCall} {
+	for name, fault := range map[string]fakes.CallFault{"refuses": fakes.RefuseCall, "silent": fakes.DropCall, "slow": fakes.DelayCall} {
 		t.Run(name, func(t *testing.T) {
 			var once sync.Once
 			var begun time.Time
@@ -220,3 +228,47 @@
 	}
 	l.play(t, nil)[0].requireJobsDone(t)
 }
+
+// Owners that end while their questions are under way leave the turn to others.
+func TestAdvisedPoolsOutlastTheirOwners(t *testing.T) {
+	l := advisedLoad{
+		pools: 3, advisor: steps.AdvisorTiming{AnswerMs: 100, PerWorkerMs: 50, TicketValidMs: 2000}, every: 1500 * time.Millisecond,
+		mayRun: anyWorker, workers: 8, longest: 500 * time.Millisecond, lasts: 40 * time.Second, rest: 14 * time.Second,
+		meanwhile: func(ctx context.Context, pools []*testPool) {
+			for n := range 12 {
+				time.Sleep(2930 * time.Millisecond)
+				if e := pools[n%3].leader(); e != nil {
+					pools[n%3].kill(ctx, e)
+				}
+			}
+		},
+	}
+	for _, pool := range l.play(t, nil) {
+		pool.requireJobsDone(t)
+	}
+}
+
+// Steps that need more workers than one question names, or all at once, start.
+func TestAdvisedWideSteps(t *testing.T) {
+	for name, step := range map[string]steps.Step{
+		"gang":       {Count: 36, CPU: 8000, Mem: 100, Gang: true},
+		"oneworker":  {Count: 50, CPU: 100, Mem: 10, MaxPerWorker: 1},
+		"many":       {Count: 500, CPU: 500, Mem: 10},
+		"smallgangs": {Count: 6, CPU: 3000, Mem: 10, Gang: true, OneRack: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := advisedLoad{
+				pools: 2, advisor: steps.AdvisorTiming{AnswerMs: 40, PerWorkerMs: 2, TicketValidMs: 3000}, every: 8 * time.Second,
+				mayRun: anyWorker, workers: 40, longest: time.Second, lasts: 40 * time.Second, rest: 14 * time.Second, step: step,
+			}
+			var questions, used int64
+			for _, pool := range l.play(t, nil) {
+				pool.requireJobsDone(t)
+				questions += pool.stats.Questions.Count()
+				used += pool.stats.TicketsUsed.Count()
+			}
+			t.Logf("%d questions, %d tickets used", questions, used)
+			require.Less(t, questions, int64(100), "questions about ten jobs")
+		})
+	}
+}
