steps, owner: restart long-running subtasks however many workers crash under them

Cause: four crashes under a subtask, or two on trial, counted as proof that it crashes its workers, also if all of them were of one host, and ended its job whatever its kind.

Change: a crash lists its host. Crashes of one host on trial count once, and a trial goes to a host that has not crashed under the subtask, if there is one. Long-running subtasks are not given up. One that is taken to crash its workers starts only while no other such one of the pool is on trial, after a delay that doubles up to 4 s (users expect it back within 6 s), or after 30 s once six hosts have crashed under it. It lists eight crashes at most.

The stand-in of the workers checks the times of such restarts in place of their number.

--- a/fakes/crash.go
+++ b/fakes/crash.go
@@ -31,6 +31,7 @@
 		return
 	}
 	ws.crashes[t]++
+	ws.crashedAt[t] = time.Now()
 	ws.crash(w)
 	ws.restarts++
 	next := w.Worker
@@ -55,17 +56,42 @@
 	}
 }
 
+// Bounds on long-running subtasks that crash each worker that starts them, which are restarted
+// however they end: after slowCrashes crashes, a start comes slowRestart after the last one, and
+// while no worker is down because of another one of which that is known.
+const (
+	slowCrashes = 7
+	slowRestart = 3500 * time.Millisecond
+)
+
 // checkCrashes checks the number of starts of a subtask under which workers have
-// crashed; ws.mu is held.
+// crashed, or their times if it is long-running; ws.mu is held.
 func (ws *WorkerSet) checkCrashes(t runs.Task) {
 	if ws.crashes[t] < maxCrashes {
 		return
 	}
+	if ws.jobs[t.Job].Steps[t.Step].LongRunning {
+		ws.checkRestart(t)
+		return
+	}
 	if ws.startsAfter[t]++; ws.startsAfter[t] == maxStartsAfter {
 		ws.recordViolation("BUDGET %s started %d times more after %d workers had crashed under it", t, maxStartsAfter, maxCrashes)
 	}
 }
 
+// checkRestart checks the start of a long-running subtask that crashes workers; ws.mu is held.
+func (ws *WorkerSet) checkRestart(t runs.Task) {
+	since := time.Since(ws.crashedAt[t])
+	if ws.crashes[t] >= slowCrashes && since < slowRestart {
+		ws.recordViolation("BUDGET long-running %s started %s after it had crashed its worker for the %dth time", t, since, ws.crashes[t])
+	}
+	for other, at := range ws.crashedAt {
+		if other != t && ws.crashes[t] >= slowCrashes && ws.crashes[other] >= slowCrashes && time.Since(at) < crashDelay {
+			ws.recordViolation("BUDGET long-running %s started while %s crashes a worker", t, other)
+		}
+	}
+}
+
 // Crashes returns the number of workers that have crashed under a subtask, which has
 // caused it.
 func (ws *WorkerSet) Crashes(t runs.Task) int {
--- a/fakes/workerset.go
+++ b/fakes/workerset.go
@@ -64,9 +64,10 @@
 	ticketIssued  map[string]time.Time    // time of issue by ticket
 
 	refusedTickets int
-	crashes        map[runs.Task]int // workers that the subtask has crashed
-	startsAfter    map[runs.Task]int // starts after maxCrashes of them
-	restarts       int               // of workers that a subtask has crashed
+	crashes        map[runs.Task]int       // workers that the subtask has crashed
+	startsAfter    map[runs.Task]int       // starts after maxCrashes of them
+	crashedAt      map[runs.Task]time.Time // time of the last one
+	restarts       int                     // of workers that a subtask has crashed
 }
 
 // workerState is one incarnation of a worker of a WorkerSet.
@@ -119,7 +120,7 @@
 	return &WorkerSet{
 		MaxLease: maxLease, workers: map[string]*workerState{}, jobs: map[string]*steps.Job{}, ackedDone: map[runs.Task]bool{},
 		reportedDone: map[runs.Task]bool{}, ackedFailures: map[runs.Task]int{}, ackedFailedAt: map[runs.Task][]time.Time{}, failures: map[runs.Task]int{}, cancelledAt: map[string]time.Time{},
-		lastStarts: map[runs.Task]time.Time{}, crashes: map[runs.Task]int{}, startsAfter: map[runs.Task]int{},
+		lastStarts: map[runs.Task]time.Time{}, crashes: map[runs.Task]int{}, startsAfter: map[runs.Task]int{}, crashedAt: map[runs.Task]time.Time{},
 	}
 }
 
--- a/owner/act.go
+++ b/owner/act.go
@@ -58,11 +58,11 @@
 		var gang []*steps.Task
 		var culprit *steps.Task
 		j.progress.EachReady(now, func(t *steps.Task) bool {
-			if t.CrashesWorkers() {
+			if t.GivenUp() {
 				culprit = t
 				return false
 			}
-			if now.Before(t.HeldUntil) || o.strays[t] > 0 {
+			if t.Held(now) || o.strays[t] > 0 || t.Restricted() && o.restrictedOnTrial(t) {
 				return true
 			}
 			if !o.voidEarlierRuns(j, t) {
--- a/owner/advice.go
+++ b/owner/advice.go
@@ -281,7 +281,7 @@
 func (o *Owner) startable(t *steps.Task, now time.Time) int {
 	n := 0
 	for _, s := range t.Siblings() {
-		if s.Phase == steps.Waiting && !now.Before(s.HeldUntil) && o.strays[s] == 0 {
+		if s.Phase == steps.Waiting && !s.Held(now) && o.strays[s] == 0 {
 			n++
 		}
 	}
--- a/owner/crash.go
+++ b/owner/crash.go
@@ -54,17 +54,44 @@
 	}
 	for _, p := range h.runs {
 		t, age := p.task, p.ageAt(h.crashedAt(now))
-		if t.Run != p.run || t.WorkerID != h.id || !t.RecordCrash(p.run, p.ranFor, age) {
+		if t.Run != p.run || t.WorkerID != h.id || !t.RecordCrash(p.run, h.hostName(), p.ranFor, age) {
 			continue
 		}
+		t.AvoidWorker, t.RestartAt = h.id, now.Add(t.RestartDelay())
 		o.markChanged(&p.job.doc)
 		o.writeFirst(&p.job.doc)
 		p.job.restartVersion = p.job.version
 		o.Log.Info().Str("task", t.ID.String()).Int("run", p.run).Str("host", h.id).Int("crashes", len(t.Crashes)).
-			Dur("age", age).Bool("suspect", t.Suspect()).Msg("worker may have crashed under the run")
+			Str("machine", h.hostName()).Dur("age", age).Bool("suspect", t.Suspect()).Dur("delay", t.RestartDelay()).Msg("worker may have crashed under the run")
 	}
 }
 
+// hostName returns the name of the host, or that of the worker if it names none.
+func (h *host) hostName() string {
+	if h.worker.Host == "" {
+		return h.id
+	}
+	return h.worker.Host
+}
+
+// restrictedOnTrial reports whether a subtask that is Restricted runs on trial, or has a worker
+// that is kept for it.
+func (o *Owner) restrictedOnTrial(but *steps.Task) bool {
+	for t := range o.trialHosts {
+		if t != but && t.Restricted() {
+			return true
+		}
+	}
+	for _, h := range o.hosts {
+		for _, p := range h.runs {
+			if p.task != but && !p.proven() && p.task.Restricted() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // recordLosses records, at the end of the takeover, that workers of an earlier owner are
 // missing: it may have started what waits now on one of them, and been lost before it
 // stored the crash. This is stored before the roster is without the workers.
@@ -89,6 +116,7 @@
 	changed := 0
 	j.progress.EachReady(now, func(t *steps.Task) bool {
 		if t.RecordLoss() {
+			t.RestartAt = now.Add(t.RestartDelay())
 			changed++
 		}
 		return true
@@ -157,6 +185,12 @@
 		return
 	}
 	delete(o.trialHosts, t)
+	demand.CrashedOn = map[string]bool{}
+	for _, h := range candHosts {
+		if t.CrashedOn(h.hostName()) {
+			demand.CrashedOn[h.id] = true
+		}
+	}
 	i, mayStart := trials.Choose(demand, cands, func(i int) int { return candHosts[i].runsOfStep(t) })
 	if !mayStart {
 		o.trialsWait = true
--- a/pack/pack.go
+++ b/pack/pack.go
@@ -45,6 +45,8 @@
 	MaxPerWorker int
 	// AvoidWorker is the ID of the worker on which the subtask failed last.
 	AvoidWorker string
+	// CrashedOn has the IDs of the workers on hosts that crashed under the subtask before.
+	CrashedOn map[string]bool
 	// MayRunOn tells whether a worker may run the subtask; nil allows all of them.
 	MayRunOn func(id string) bool
 }
--- a/pack/trial.go
+++ b/pack/trial.go
@@ -3,6 +3,9 @@
 // trialWeight is the cost, in a trial, of each run of a worker that isn't proven.
 const trialWeight = 2 * usageScale
 
+// crashedWeight is the cost, in a trial, of a host that has crashed under the subtask before.
+const crashedWeight = remoteWeight
+
 // smallPool is the number of workers up to which a pool may have all but one on trial.
 const smallPool = 4
 
@@ -31,7 +34,8 @@
 // subtasks until all that it runs is proven. Count returns how many subtasks of the
 // step run on worker i.
 //
-// It prefers the emptiest worker, which loses least if it crashes.
+// It prefers a worker on a host that has not crashed under the subtask yet, whose crash would
+// prove more, then the emptiest one, which loses least.
 func (t *Trials) Choose(d *Demand, workers []Worker, count func(i int) int) (int, bool) {
 	if t.left <= 0 {
 		return -1, false
@@ -46,6 +50,9 @@
 		if w.ID == d.AvoidWorker {
 			c += remoteWeight
 		}
+		if d.CrashedOn[w.ID] {
+			c += crashedWeight
+		}
 		if best < 0 || c < cost {
 			best, cost = i, c
 		}
--- a/pack/trial_test.go
+++ b/pack/trial_test.go
@@ -46,6 +46,29 @@
 	}
 }
 
+// A trial on a host that has crashed under the subtask before proves less than one on another.
+func TestTrialOnAnotherHost(t *testing.T) {
+	none := func(int) int { return 0 }
+	workers := func() []Worker { return trialWorkers([3]int{8, 0, 0}, [3]int{3, 0, 0}, [3]int{4, 0, 0}) }
+	for name, c := range map[string]struct {
+		crashed map[string]bool
+		at      int
+	}{
+		"none has crashed":    {nil, 0},
+		"the emptiest has":    {map[string]bool{"a": true}, 2},
+		"all but the last":    {map[string]bool{"a": true, "b": true}, 2},
+		"all, and any may do": {map[string]bool{"a": true, "b": true, "c": true}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := &Demand{Resources: hosts.Resources{CPU: 2000}, CrashedOn: c.crashed}
+			list := workers()
+			at, now := NewTrials(list).Choose(d, list, none)
+			require.Equal(t, c.at, at)
+			require.True(t, now)
+		})
+	}
+}
+
 // No other subtask starts beside one on trial, nor on a worker that is kept for one.
 func TestNothingStartsBesideTrial(t *testing.T) {
 	none := func(int) int { return 0 }
--- a/steps/crash.go
+++ b/steps/crash.go
@@ -1,6 +1,7 @@
 package steps
 
 import (
+	"fmt"
 	"slices"
 	"time"
 )
@@ -26,12 +27,26 @@
 	// maxCrashAge is the age from which on a run is no cause of the crash either, although
 	// its worker may have been silent since: silence goes unnoticed for less.
 	maxCrashAge = 2 * time.Second
+	// maxListed is the largest number of runs that are listed for a long-running subtask,
+	// which is never given up.
+	maxListed = 8
+	// Delay before a long-running subtask that may crash its workers starts again. It doubles
+	// with each crash after the second, up to maxRestartDelay: users expect it at work again
+	// within 6 s.
+	minRestartDelay = 250 * time.Millisecond
+	maxRestartDelay = 4 * time.Second
+	// deadlyHosts is the number of hosts that crashed under a subtask, one after the other,
+	// from which on the delay is deadlyRestartDelay: no sound one meets as many.
+	deadlyHosts        = 6
+	deadlyRestartDelay = 30 * time.Second
 )
 
 // Crash is a run under which a worker crashed, or was given up.
 type Crash struct {
 	// Run is 0 if it was not announced, and may not have been started.
 	Run int `json:"run"`
+	// Host is where it ran, empty if unknown.
+	Host string `json:"on,omitempty"`
 	// AgeMs is how long the run had worked, at most, in milliseconds.
 	AgeMs int64 `json:"ms,omitempty"`
 	// Open tells that the run was announced, and that no owner has seen more of it.
@@ -46,17 +61,17 @@
 // cause the crash. One that did would have crashed this worker as well.
 func (c *Crash) proof() time.Duration { return time.Duration(c.AgeMs)*time.Millisecond + MinProof }
 
-// RecordCrash records that a worker crashed, or was given up, under a run that had worked
-// for at least ranFor and at most age, unless that is too long for it to be the cause. It
-// reports whether that was news.
-func (t *Task) RecordCrash(run int, ranFor, age time.Duration) bool {
+// RecordCrash records that a worker on a host crashed, or was given up, under a run that had
+// worked for at least ranFor and at most age, unless that is too long for it to be the cause.
+// It reports whether that was news.
+func (t *Task) RecordCrash(run int, host string, ranFor, age time.Duration) bool {
 	if t.Phase == Finished || ranFor > maxCrashWork || age > maxCrashAge {
 		return false
 	}
-	c := Crash{Run: run, AgeMs: age.Milliseconds()}
+	c := Crash{Run: run, Host: host, AgeMs: age.Milliseconds()}
 	i := t.crashIndex(run)
 	if i < 0 {
-		t.Crashes = append(t.Crashes, c)
+		t.list(c)
 		return true
 	}
 	if !t.Crashes[i].Open {
@@ -74,10 +89,29 @@
 	if len(t.Crashes) == 0 || t.crashIndex(run) >= 0 {
 		return false
 	}
-	t.Crashes = append(t.Crashes, Crash{Run: run, Open: true, Trial: trial})
+	t.list(Crash{Run: run, Open: true, Trial: trial})
 	return true
 }
 
+// list lists a run. If a long-running subtask has too many, it takes the place of the first one
+// whose host is listed again, or of the first one.
+func (t *Task) list(c Crash) {
+	if t.Step.LongRunning && len(t.Crashes) >= maxListed {
+		again := slices.IndexFunc(t.Crashes, func(old Crash) bool {
+			n := 0
+			for _, other := range t.Crashes {
+				if other.Host == old.Host {
+					n++
+				}
+			}
+			return n > 1
+		})
+		at := max(again, 0)
+		t.Crashes = slices.Delete(t.Crashes, at, at+1)
+	}
+	t.Crashes = append(t.Crashes, c)
+}
+
 // RecordLoss records that a worker and its owner were lost, which may have started the
 // subtask there. The run that it announced last counts as a crash; those before it were
 // judged by the owner that announced it. If none was announced, the runs from now on are.
@@ -150,19 +184,68 @@
 	return seen+lost > 1 || seen == 1 && t.ProofTime() <= maxTrial
 }
 
-// CrashesWorkers tells whether the subtask is taken to crash each worker that starts it.
+// CrashesWorkers tells whether the subtask is taken to crash each worker that starts it. Several
+// crashes of one host on trial count as one, as the host may be the cause.
 func (t *Task) CrashesWorkers() bool {
-	all, trials := 0, 0
-	for _, c := range t.Crashes {
+	all := 0
+	trials := map[string]bool{}
+	for i, c := range t.Crashes {
 		if c.Open && !c.Lost && (!c.Trial || c.Run > t.Run) {
 			continue // announced, and not known to have been started or lost
 		}
 		all++
 		if c.Trial && !c.Open {
-			trials++
+			trials[c.hostOr(i)] = true
 		}
 	}
-	return all >= maxCrashes || trials >= maxTrialCrashes
+	return all >= maxCrashes || len(trials) >= maxTrialCrashes
+}
+
+// GivenUp tells whether the subtask is not started again. Long-running ones are restarted
+// however they end, after RestartDelay.
+func (t *Task) GivenUp() bool { return !t.Step.LongRunning && t.CrashesWorkers() }
+
+// Restricted tells whether the subtask may start only while no other such subtask of the pool is
+// on trial: it is taken to crash each worker that starts it, and is not given up.
+func (t *Task) Restricted() bool { return t.Step.LongRunning && t.CrashesWorkers() }
+
+// RestartDelay returns how long after a crash the subtask starts again at the earliest.
+func (t *Task) RestartDelay() time.Duration {
+	if !t.Step.LongRunning {
+		return 0
+	}
+	crashes := 0
+	hosts := map[string]bool{}
+	for _, c := range t.Crashes {
+		if c.Open && !c.Lost {
+			continue
+		}
+		crashes++
+		if c.Host != "" {
+			hosts[c.Host] = true
+		}
+	}
+	switch {
+	case crashes < 2:
+		return 0
+	case len(hosts) >= deadlyHosts:
+		return deadlyRestartDelay
+	default:
+		return min(minRestartDelay<<(crashes-2), maxRestartDelay)
+	}
+}
+
+// CrashedOn reports whether a host has crashed under the subtask.
+func (t *Task) CrashedOn(host string) bool {
+	return slices.ContainsFunc(t.Crashes, func(c Crash) bool { return c.Host == host && host != "" })
+}
+
+// hostOr returns the host, or a name that no other has if it is unknown.
+func (c *Crash) hostOr(i int) string {
+	if c.Host == "" {
+		return fmt.Sprint("unknown ", i)
+	}
+	return c.Host
 }
 
 // Fail ends the job as failed because of a subtask that can't be done.
--- a/steps/track.go
+++ b/steps/track.go
@@ -45,6 +45,9 @@
 	// HeldUntil is the time before which the subtask must not start, as a run that
 	// was ordered earlier may still start or be running; zero if there is none.
 	HeldUntil time.Time
+	// RestartAt is the time before which the subtask must not start, as workers crashed under
+	// it; zero if there is none.
+	RestartAt time.Time
 	// StoppedAsSlow tells that a run was stopped because it made too little progress.
 	StoppedAsSlow bool
 	// AvoidWorker is the worker on which the subtask failed last.
@@ -59,6 +62,9 @@
 	Crashes []Crash
 }
 
+// Held tells whether the subtask must not start yet.
+func (t *Task) Held(now time.Time) bool { return now.Before(t.HeldUntil) || now.Before(t.RestartAt) }
+
 // Active tells whether resources of a worker are reserved for the subtask.
 func (t *Task) Active() bool { return t.Phase == Starting || t.Phase == Running || t.Phase == Stopping }
 
