--- a/owner/crash.go
+++ b/owner/crash.go
@@ -92,6 +92,17 @@
 	return false
 }
 
+// delayRestarts delays the restarts of a job's subtasks under which workers crashed before this
+// owner was elected: when is not recorded.
+func (o *Owner) delayRestarts(j *job) {
+	now := o.Clock.Now()
+	j.progress.Each(func(t *steps.Task) {
+		if d := t.RestartDelay(); d > 0 {
+			t.RestartAt = now.Add(d)
+		}
+	})
+}
+
 // recordLosses records, at the end of the takeover, that workers of an earlier owner are
 // missing: it may have started what waits now on one of them, and been lost before it
 // stored the crash. This is stored before the roster is without the workers.
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -102,6 +102,7 @@
 			o.Log.Error().Str("job", j.id()).Err(err).Msg("recorded progress of the job is not readable")
 		} else {
 			j.progress.Restore(r)
+			o.delayRestarts(j)
 		}
 	}
 	if j.progress.Outcome != steps.Open {
