steps, owner: start all members of a gang from one checkpoint

PROTOCOL.md: "The value from any member of a gang is valid for that gang, and all must carry the same value." So the "must" is broken, whatever a worker does about it.

Cause: a checkpoint belonged to a subtask. Members that had ended listed their newest one, the lost one had an older one from its last report, and each start carried its own; each further run had the same values. A repeated start carried what had been reported since the first try.

Change: the first member has the checkpoint of a gang, the newest by run and progress that any member has saved. A run's checkpoint is chosen once, with its number, and each try to start it carries it. A later owner numbers its runs above those of earlier ones, so no run has two values.

owner.TestGangStartsFromOneCheckpoint fails before: member 2 started from ".2/1/end" and member 1 from ".1/1/end". The stand-in of the workers saves checkpoints now, and refuses members that differ and values that are none of their step's; the model draws jobs that save them.

--- a/fakes/workerset.go
+++ b/fakes/workerset.go
@@ -57,6 +57,7 @@
 	ackedFailedAt map[runs.Task][]time.Time
 	failures      map[runs.Task]int    // number of all ends as Failed
 	cancelledAt   map[string]time.Time // by job ID
+	checkpoints   map[string]runs.Step // those that were saved, with the steps for which they are valid
 	violations    []string
 	starts        int
 	gangTimeouts  int                     // members that ended as GangIncomplete
@@ -99,6 +100,8 @@
 	step    *steps.Step
 	timer   *time.Timer
 	started time.Time
+	// resumed is the checkpoint that its start carried, and name what its own ones begin with.
+	resumed, name string
 }
 
 // Times of workers.
@@ -120,7 +123,7 @@
 	return &WorkerSet{
 		MaxLease: maxLease, workers: map[string]*workerState{}, jobs: map[string]*steps.Job{}, ackedDone: map[runs.Task]bool{},
 		reportedDone: map[runs.Task]bool{}, ackedFailures: map[runs.Task]int{}, ackedFailedAt: map[runs.Task][]time.Time{}, failures: map[runs.Task]int{}, cancelledAt: map[string]time.Time{},
-		lastStarts: map[runs.Task]time.Time{}, crashes: map[runs.Task]int{}, startsAfter: map[runs.Task]int{}, crashedAt: map[runs.Task]time.Time{},
+		lastStarts: map[runs.Task]time.Time{}, crashes: map[runs.Task]int{}, startsAfter: map[runs.Task]int{}, crashedAt: map[runs.Task]time.Time{}, checkpoints: map[string]runs.Step{},
 	}
 }
 
@@ -264,7 +267,7 @@
 		ws.failures[t]++
 	}
 	w.endedAt[w.lastEnd] = time.Now()
-	w.unackedEnds = append(w.unackedEnds, runs.End{Number: w.lastEnd, Task: t, Run: r.run, Outcome: outcome})
+	w.unackedEnds = append(w.unackedEnds, runs.End{Number: w.lastEnd, Task: t, Run: r.run, Outcome: outcome, Checkpoint: ws.finalCheckpoint(r, outcome)})
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
@@ -301,6 +304,9 @@
 		return err
 	}
 	step := &j.Steps[s.Task.Step]
+	if err := ws.checkCheckpoint(s, step); err != nil {
+		return err
+	}
 	if ws.ChecksRoom && !w.fits(step) {
 		return runs.ErrNoCapacity
 	}
@@ -308,7 +314,7 @@
 	ws.starts++
 	ws.lastStarts[s.Task] = time.Now()
 	length, outcome := ws.DecideRun(s.Task, s.Run)
-	r := &activeRun{run: s.Run, step: step, started: time.Now()}
+	r := &activeRun{run: s.Run, step: step, started: time.Now(), resumed: s.Checkpoint, name: fmt.Sprintf("%s/%d", s.Task, s.Run)}
 	r.timer = time.AfterFunc(length, func() {
 		ws.mu.Lock()
 		defer ws.mu.Unlock()
@@ -464,7 +470,7 @@
 		if v.step.LongRunning && time.Since(v.started) >= startupTime {
 			percent = 100
 		}
-		r.Running = append(r.Running, runs.Running{Task: t, Run: v.run, Percent: percent})
+		r.Running = append(r.Running, runs.Running{Task: t, Run: v.run, Percent: percent, Checkpoint: ws.checkpoint(v)})
 	}
 	for _, e := range r.Ended {
 		if e.Outcome == runs.Done {
--- a/owner/act.go
+++ b/owner/act.go
@@ -252,7 +252,7 @@
 // startRun reserves room for a run on a worker and orders the worker to start it.
 func (o *Owner) startRun(h *host, j *job, t *steps.Task, run int, now time.Time) {
 	t.Phase, t.WorkerID, t.Run, t.PhaseSince, t.Percent = steps.Starting, h.id, run, now, 0
-	p := &placement{task: t, job: j, run: run, announced: t.Announced(run), share: fullShare, leaseUntil: h.workerClock(now) + startLease.Milliseconds()}
+	p := &placement{task: t, job: j, run: run, announced: t.Announced(run), checkpoint: t.StartCheckpoint(), share: fullShare, leaseUntil: h.workerClock(now) + startLease.Milliseconds()}
 	o.reserveRoom(h, p)
 	j.lastStart = now
 	h.leaseUntil = max(h.leaseUntil, p.leaseUntil)
@@ -262,7 +262,7 @@
 	}
 	o.Log.Info().Str("job", j.id()).Str("task", t.ID.String()).Int("run", run).Str("host", h.id).
 		Int64("born", h.startedMs).Int("freeCpu", h.worker.Capacity.CPU-h.used.CPU).Int64("ageMs", now.UnixMilli()-j.progress.Job.Accepted).
-		Bool("fresh", j.acceptedInTerm).Int("unread", o.unreadWorkers()).Msg("starting run")
+		Str("checkpoint", p.checkpoint).Bool("fresh", j.acceptedInTerm).Int("unread", o.unreadWorkers()).Msg("starting run")
 	o.sendStart(h, p)
 }
 
@@ -272,7 +272,7 @@
 	p.tries++
 	p.startSentAt = o.Clock.Now()
 	s := runs.Start{
-		Task: p.task.ID, Run: p.run, Payload: p.job.progress.Job.Payload, UntilMs: p.leaseUntil, Fence: o.Fence, Checkpoint: p.task.Checkpoint,
+		Task: p.task.ID, Run: p.run, Payload: p.job.progress.Job.Payload, UntilMs: p.leaseUntil, Fence: o.Fence, Checkpoint: p.checkpoint,
 	}
 	if p.job.progress.Job.Advisor != nil {
 		s.Ticket = o.useTicket(h, p, p.startSentAt)
--- a/owner/placement.go
+++ b/owner/placement.go
@@ -31,6 +31,8 @@
 	copied    bool // a start was sent in several copies
 	inFlight  bool // a start or stop is under way
 	announced bool // see steps.Task.Announce
+	// checkpoint is the one that each try to start the run carries.
+	checkpoint string
 	// share is the share, in percent, at which a filling run works, or shareUnknown.
 	share        int
 	paceInFlight bool      // a call to change share is under way
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -344,9 +344,7 @@
 		}
 		if p.task.Run == v.Run {
 			p.task.Percent, p.task.TailOrCPU = v.Percent, v.TailOrCPU
-			if v.Checkpoint != "" {
-				p.task.Checkpoint = v.Checkpoint
-			}
+			p.task.SaveCheckpoint(v.Run, v.Percent, v.Checkpoint)
 			o.stopIfSlow(h, p, now)
 		}
 		return
@@ -381,9 +379,7 @@
 			t.HighestVoidRun = v.Run - 1
 			o.markChanged(&j.doc)
 		}
-		if v.Checkpoint != "" {
-			t.Checkpoint = v.Checkpoint
-		}
+		t.SaveCheckpoint(v.Run, v.Percent, v.Checkpoint)
 		j.progress.Started = true
 		o.Log.Info().Str("task", v.Task.String()).Int("run", v.Run).Str("host", h.id).Msg("adopted a run of an earlier owner")
 		return
--- a/owner/pool_test.go
+++ b/owner/pool_test.go
@@ -385,6 +385,7 @@
 			step.Gang = true
 			step.CPU = 500
 		}
+		step.Checkpointing = step.Count%2 == 0
 		j.Steps = append(j.Steps, step)
 	}
 	return j
--- a/owner/rules_test.go
+++ b/owner/rules_test.go
@@ -37,6 +37,38 @@
 	return pool
 }
 
+// GANG: a worker crashed under a gang that saves checkpoints, and its members started again with
+// different ones: those that had ended with their newest, the lost one with an older one (review/5).
+func TestGangStartsFromOneCheckpoint(t *testing.T) {
+	for name, killOwner := range map[string]bool{"worker crashes": false, "and the owner is lost": true} {
+		t.Run(name, func(t *testing.T) {
+			pool := withoutFaults(t, 8, func(ctx context.Context, pool *testPool) {
+				pool.workers.DecideRun = func(runs.Task, int) (time.Duration, runs.Outcome) { return 4 * time.Second, runs.Done }
+				for n := range 6 {
+					j := &steps.Job{ID: fmt.Sprintf("%016x", n), Queue: "q", MaxAttempts: 3, Steps: []steps.Step{{Count: 4, CPU: 5000, Gang: true, Checkpointing: true}}}
+					pool.submit(j)
+					time.Sleep(2*time.Second + time.Duration(n)*170*time.Millisecond)
+					victim := pool.workers.Running()[runs.Task{Job: j.ID, Index: 3}]
+					for _, w := range pool.workers.Registered() {
+						if w.ID != victim {
+							continue
+						}
+						pool.workers.Crash(victim)
+						if e := pool.leader(); killOwner && e != nil {
+							pool.kill(ctx, e)
+						}
+						time.Sleep(4 * time.Second)
+						pool.workers.Join(w)
+					}
+					time.Sleep(15 * time.Second)
+				}
+			})
+			require.Zero(t, pool.countOpen())
+			require.Zero(t, pool.workers.GangTimeouts())
+		})
+	}
+}
+
 // GANG: in a pool that is nearly full, a gang starts only when all members find
 // room, so that no member waits for others that don't start.
 func TestGangStartsTogether(t *testing.T) {
--- a/steps/record.go
+++ b/steps/record.go
@@ -71,7 +71,8 @@
 			continue
 		}
 		task.Run = max(task.Run, v.Run)
-		task.FailedRuns, task.Checkpoint, task.HighestVoidRun = v.failedRuns(), v.Checkpoint, v.HighestVoidRun
+		task.FailedRuns, task.HighestVoidRun = v.failedRuns(), v.HighestVoidRun
+		task.SaveCheckpoint(0, 0, v.Checkpoint) // earlier builds have one for each member of a gang
 		task.Crashes = v.Crashes
 		for _, c := range v.Crashes {
 			task.Run = max(task.Run, c.Run) // an announced run may have started since
--- a/steps/track.go
+++ b/steps/track.go
@@ -32,8 +32,11 @@
 	// is listed once. Long-running subtasks, which may fail any number of times, and
 	// members of a gang but the first have none.
 	FailedRuns []int
-	// Checkpoint is the newest checkpoint, empty if there is none.
+	// Checkpoint is the newest checkpoint, empty if there is none. Of a gang, the first member
+	// has it.
 	Checkpoint string
+	// checkpointRun and checkpointPercent are the run that saved it and its progress then.
+	checkpointRun, checkpointPercent int
 	// WorkerID is the worker that has the run, in the phases Starting, Running and
 	// Stopping.
 	WorkerID string
@@ -264,9 +267,7 @@
 	if task.Phase == Finished {
 		return false
 	}
-	if checkpoint != "" {
-		task.Checkpoint = checkpoint
-	}
+	task.SaveCheckpoint(run, finalPercent, checkpoint)
 	switch {
 	case outcome == runs.Done && !task.Step.LongRunning:
 		task.Crashes = nil
@@ -317,6 +318,32 @@
 	}
 }
 
+// finalPercent is the progress of a checkpoint that was saved at the end of a run.
+const finalPercent = 101
+
+// SaveCheckpoint records a checkpoint of a run at a progress in percent, unless it is empty or
+// older than the one that is known. A checkpoint of any member is valid for all of its gang.
+func (t *Task) SaveCheckpoint(run, percent int, checkpoint string) {
+	h := t.checkpointHolder()
+	if checkpoint == "" || run < h.checkpointRun || run == h.checkpointRun && percent < h.checkpointPercent {
+		return
+	}
+	h.Checkpoint, h.checkpointRun, h.checkpointPercent = checkpoint, run, percent
+}
+
+// StartCheckpoint returns the checkpoint from which the next run starts, empty if there is none.
+// It is the same for all members of a gang.
+func (t *Task) StartCheckpoint() string { return t.checkpointHolder().Checkpoint }
+
+// checkpointHolder returns the subtask that has the checkpoints of t: the first member of its
+// gang, or t itself.
+func (t *Task) checkpointHolder() *Task {
+	if t.Step.Gang {
+		return t.Siblings()[0]
+	}
+	return t
+}
+
 // failureCounter returns the subtask at which failures of t are counted: the first
 // member of its gang, or t itself.
 func (t *Task) failureCounter() *Task {
--- a/steps/track_test.go
+++ b/steps/track_test.go
@@ -133,6 +133,39 @@
 	require.Equal(t, steps.Completed, progress.Outcome)
 }
 
+// The members of a gang start from one checkpoint: the newest that any of them has saved, also if
+// reports arrive late, and for a later owner.
+func TestGangHasOneCheckpoint(t *testing.T) {
+	progress := steps.NewProgress(job(steps.Step{Count: 3, Gang: true, Checkpointing: true}))
+	member := func(p *steps.Progress, i int) *steps.Task { return p.Task(runs.Task{Job: p.Job.ID, Index: i}) }
+	requireAll := func(p *steps.Progress, want string) {
+		for i := range 3 {
+			require.Equal(t, want, member(p, i).StartCheckpoint())
+		}
+	}
+	requireAll(progress, "")
+	member(progress, 2).SaveCheckpoint(1, 30, "a")
+	requireAll(progress, "a")
+	member(progress, 1).SaveCheckpoint(1, 20, "late")
+	member(progress, 0).SaveCheckpoint(1, 40, "")
+	requireAll(progress, "a")
+	for i := range 3 {
+		runAndEnd(progress, 0, i, 2, runs.GangBroken)
+	}
+	progress.RecordEnd(member(progress, 1), 2, runs.GangBroken, "b")
+	member(progress, 2).SaveCheckpoint(1, 90, "of the run before")
+	member(progress, 2).SaveCheckpoint(2, 90, "before its end")
+	requireAll(progress, "b")
+	restored := steps.NewProgress(progress.Job)
+	restored.Restore(progress.Record())
+	requireAll(restored, "b")
+	member(restored, 2).SaveCheckpoint(3, 10, "c")
+	requireAll(restored, "c")
+	former := steps.NewProgress(progress.Job) // earlier builds recorded one for each member
+	former.Restore(steps.Record{Tasks: []steps.TaskRecord{{Index: 1, Checkpoint: "x"}, {Index: 2, Checkpoint: "y"}}})
+	requireAll(former, "y")
+}
+
 func TestLongRunningStartsAgain(t *testing.T) {
 	progress := steps.NewProgress(job(steps.Step{Count: 1, LongRunning: true}))
 	for run, how := range []runs.Outcome{runs.Done, runs.Failed, runs.Failed, runs.Failed, runs.LeaseExpired} {
