fakes, owner: check long-running subtasks that crash workers one at a time; use late tickets for 0.1 s

The stand-in compared the times of crashes, where the bound is that no two such subtasks run at once. A pass may come 50 ms after the last one, so a ticket that was to be tried once on arrival could be missed.

--- a/fakes/checkpoint.go
+++ b/fakes/checkpoint.go
@@ -28,10 +28,10 @@
 	return ws.saveCheckpoint(r, "end")
 }
 
+// saveCheckpoint returns a checkpoint of a run, which is valid for its step from now on.
 func (ws *WorkerSet) saveCheckpoint(r *activeRun, suffix string) string {
-	value := r.name + "/" + suffix
-	t, _ := runs.ParseTask(r.name[:len(r.name)-len(fmt.Sprintf("/%d", r.run))]) // of an order that was carried out
-	ws.checkpoints[value] = t.ParentStep()
+	value := fmt.Sprintf("%s/%d/%s", r.task, r.run, suffix)
+	ws.checkpoints[value] = r.task.ParentStep()
 	return value
 }
 
--- a/fakes/crash.go
+++ b/fakes/crash.go
@@ -58,7 +58,7 @@
 
 // Bounds on long-running subtasks that crash each worker that starts them, which are restarted
 // however they end: after slowCrashes crashes, a start comes slowRestart after the last one, and
-// while no worker is down because of another one of which that is known.
+// while no other one with as many crashes runs.
 const (
 	slowCrashes = 7
 	slowRestart = 3500 * time.Millisecond
@@ -85,9 +85,14 @@
 	if ws.crashes[t] >= slowCrashes && since < slowRestart {
 		ws.recordViolation("BUDGET long-running %s started %s after it had crashed its worker for the %dth time", t, since, ws.crashes[t])
 	}
-	for other, at := range ws.crashedAt {
-		if other != t && ws.crashes[t] >= slowCrashes && ws.crashes[other] >= slowCrashes && time.Since(at) < crashDelay {
-			ws.recordViolation("BUDGET long-running %s started while %s crashes a worker", t, other)
+	if ws.crashes[t] < slowCrashes {
+		return
+	}
+	for _, w := range ws.workers {
+		for other := range w.running {
+			if other != t && ws.crashes[other] >= slowCrashes {
+				ws.recordViolation("BUDGET long-running %s started beside %s, which crashes workers as well", t, other)
+			}
 		}
 	}
 }
--- a/fakes/workerset.go
+++ b/fakes/workerset.go
@@ -96,12 +96,12 @@
 
 // activeRun is a run that is active on a worker.
 type activeRun struct {
+	task    runs.Task
 	run     int
 	step    *steps.Step
 	timer   *time.Timer
 	started time.Time
-	// resumed is the checkpoint that its start carried, and name what its own ones begin with.
-	resumed, name string
+	resumed string // the checkpoint that its start carried
 }
 
 // Times of workers.
@@ -314,7 +314,7 @@
 	ws.starts++
 	ws.lastStarts[s.Task] = time.Now()
 	length, outcome := ws.DecideRun(s.Task, s.Run)
-	r := &activeRun{run: s.Run, step: step, started: time.Now(), resumed: s.Checkpoint, name: fmt.Sprintf("%s/%d", s.Task, s.Run)}
+	r := &activeRun{task: s.Task, run: s.Run, step: step, started: time.Now(), resumed: s.Checkpoint}
 	r.timer = time.AfterFunc(length, func() {
 		ws.mu.Lock()
 		defer ws.mu.Unlock()
--- a/owner/advice.go
+++ b/owner/advice.go
@@ -28,7 +28,7 @@
 	maxTicketMargin     = 200 * time.Millisecond
 	// lateTicketUse is how long a ticket is used that may have run out on arrival. The worker
 	// refuses the start if it has.
-	lateTicketUse = 50 * time.Millisecond
+	lateTicketUse = 100 * time.Millisecond
 	// lateTicketRetryDelay is the pause of a queue after such a refusal. It doubles with each,
 	// up to maxLateTicketDoublings times.
 	lateTicketRetryDelay   = 250 * time.Millisecond
