--- a/owner/crash.go
+++ b/owner/crash.go
@@ -62,7 +62,7 @@
 		o.writeFirst(&p.job.doc)
 		p.job.restartVersion = p.job.version
 		o.Log.Info().Str("task", t.ID.String()).Int("run", p.run).Str("host", h.id).Int("crashes", len(t.Crashes)).
-			Str("machine", h.hostName()).Dur("age", age).Bool("suspect", t.Suspect()).Dur("delay", t.RestartDelay()).Msg("worker may have crashed under the run")
+			Str("hostName", h.hostName()).Dur("age", age).Bool("suspect", t.Suspect()).Dur("delay", t.RestartDelay()).Msg("worker may have crashed under the run")
 	}
 }
 
