--- a/owner/advisedmodel_test.go
+++ b/owner/advisedmodel_test.go
@@ -35,7 +35,7 @@
 	r := rand.New(rand.NewPCG(seed, 11))
 	pools := make([]*testPool, 1+r.IntN(4))
 	validMs := int64(1500 + r.IntN(3000))
-	advisor := &steps.AdvisorTiming{AnswerMs: 5 + r.Int64N(validMs/10), PerWorkerMs: r.Int64N(10), TicketValidMs: validMs}
+	advisor := &steps.AdvisorTiming{AnswerMs: 5 + r.Int64N(validMs/3), PerWorkerMs: r.Int64N(validMs/40), TicketValidMs: validMs}
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(context.Background())
 		turn, line := fakes.NewAdvisorTurn(), advice.New(quartz.NewReal())
@@ -70,7 +70,8 @@
 				pool.submit(pool.randomJob())
 			}
 		}
-		time.Sleep(2 * time.Minute)
+		// The advisor takes up to 1.5 s for each of some hundred questions.
+		time.Sleep(5 * time.Minute)
 		for _, pool := range pools {
 			for id := range pool.workers.Running() {
 				pool.activeAtEnd[id.Job]++
