--- a/owner/advisedmodel_test.go
+++ b/owner/advisedmodel_test.go
@@ -35,7 +35,7 @@
 	r := rand.New(rand.NewPCG(seed, 11))
 	pools := make([]*testPool, 1+r.IntN(4))
 	validMs := int64(1500 + r.IntN(3000))
-	advisor := &steps.AdvisorTiming{AnswerMs: 5 + r.Int64N(validMs/3), PerWorkerMs: r.Int64N(validMs/40), TicketValidMs: validMs}
+	advisor := &steps.AdvisorTiming{AnswerMs: 5 + r.Int64N(validMs/3), PerWorkerMs: r.Int64N(validMs / 40), TicketValidMs: validMs}
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(context.Background())
 		turn, line := fakes.NewAdvisorTurn(), advice.New(quartz.NewReal())
