--- a/steps/crash.go
+++ b/steps/crash.go
@@ -36,7 +36,7 @@
 	minRestartDelay = 250 * time.Millisecond
 	maxRestartDelay = 4 * time.Second
 	// deadlyHosts is the number of hosts that crashed under a subtask, one after the other,
-	// from which on the delay is deadlyRestartDelay: no sound one meets as many.
+	// from which on the delay is deadlyRestartDelay.
 	deadlyHosts        = 6
 	deadlyRestartDelay = 30 * time.Second
 )
