agent: log a request for a state only if its answer is news

An entry remembers its last answers on 4096 jobs and logs, at info level, an answer that differs, a first one without a state, and an error of the store; all others are logged at debug level. desk.states counts all requests. The tests of package agent named State pass, also with -race.

--- a/agent/jobapi.go
+++ b/agent/jobapi.go
@@ -32,7 +32,9 @@
 	// acceptTime is the time from a submitted job to its answer, in microseconds.
 	acceptTime                 metrics.Histogram
 	accepted, refused, unknown metrics.Counter
-	reads                      metrics.Counter
+	// reads counts the jobs looked up, and states the requests for the state of a job.
+	reads, states metrics.Counter
+	answers       *stateAnswers
 	// barred counts the hand-ins of jobs that were cancelled before, and cancelledUnknown the
 	// cancellations of jobs that the store does not have.
 	barred, cancelledUnknown metrics.Counter
@@ -52,6 +54,8 @@
 		refused:    metrics.NewRegisteredCounter("desk.refused", a.registry),
 		unknown:    metrics.NewRegisteredCounter("desk.unknown", a.registry),
 		reads:      metrics.NewRegisteredCounter("desk.reads", a.registry),
+		states:     metrics.NewRegisteredCounter("desk.states", a.registry),
+		answers:    newStateAnswers(),
 		barred:     metrics.NewRegisteredCounter("desk.barred", a.registry),
 
 		cancelledUnknown: metrics.NewRegisteredCounter("desk.cancelled.unknown", a.registry),
@@ -215,6 +219,7 @@
 
 // state answers a request for the state of a job.
 func (api *jobAPI) state(ctx context.Context, q *policy.Queue, id string) platform.Answer {
+	api.states.Inc(1)
 	if api.agent.storeUnreachable() {
 		return api.rejectUnreachable(id, "state", platform.Refused)
 	}
@@ -231,10 +236,20 @@
 	default:
 		a.State = "queued"
 	}
-	api.agent.log.Info().Str("job", id).Str("pool", pool).Str("state", a.State).Str("outcome", a.Outcome.String()).Err(err).Msg("job state requested")
+	api.logState(id, pool, a, err)
 	return a
 }
 
+// logState logs an answer on the state of a job: at debug level if it tells nothing new, as
+// callers ask for a job many times.
+func (api *jobAPI) logState(id, pool string, a platform.Answer, err error) {
+	line := api.agent.log.Debug()
+	if api.answers.tellsNew(id, a) || err != nil && !errors.Is(err, plat.ErrNotFound) {
+		line = api.agent.log.Info()
+	}
+	line.Str("job", id).Str("pool", pool).Str("state", a.State).Str("outcome", a.Outcome.String()).Err(err).Msg("job state requested")
+}
+
 // cancel records the cancellation of a job that has not ended.
 func (api *jobAPI) cancel(ctx context.Context, q *policy.Queue, id string) platform.Answer {
 	if api.agent.storeUnreachable() {
