elect: warn of changes of elections, and since when renewals fail

Leaderships after a pool's first, new leases after an entry's first, losses and ends of leases are warnings now and tell how long ago the last answered renewal was sent; a loss names the term. Renewals that fail in a row, and requests for a lease, are logged once when they begin to fail and once when they succeed again, with how long and how many.

--- a/elect/claim.go
+++ b/elect/claim.go
@@ -84,7 +84,7 @@
 // win records the leadership of a pool and reports it.
 func (e *Elector) win(t Term) {
 	e.held[t.Pool] = t
-	e.Log.Info().Str("pool", t.Pool).Int64("fence", t.Fence).Int("term", t.Number).Msg("leadership won")
+	e.logWon(t)
 	e.Won(t)
 }
 
--- a/elect/elect.go
+++ b/elect/elect.go
@@ -97,6 +97,8 @@
 	refusedFence map[string]int64
 	synced       bool // the elections have been read from the store
 	resigned     bool // this entry takes part no more
+
+	renewals renewals
 }
 
 // leader is a pool's leader: its entry, that entry's lease, and the revision of
@@ -231,11 +233,12 @@
 		e.onLeaseGranted(ctx, m)
 	case registered:
 		e.granting, e.keyWrittenAt = false, e.Clock.Now()
-		e.Log.Info().Err(m.err).Msg("entry registered again")
+		e.Log.Warn().Err(m.err).Msg("entry registered again")
 		if errors.Is(m.err, plat.ErrNotFound) {
 			e.endLease(m.lease)
 		}
 	case leaseRenewed:
+		e.noteRenewal(m)
 		e.onLeaseRenewed(m)
 	case claimEnded:
 		e.onClaimEnded(m)
@@ -370,7 +373,7 @@
 		return
 	}
 	delete(e.held, pool)
-	e.Log.Warn().Str("pool", pool).Int64("fence", t.Fence).Str("cause", cause).Msg("leadership lost")
+	e.sinceRenewal(e.Log.Warn()).Str("pool", pool).Int64("fence", t.Fence).Int("term", t.Number).Str("cause", cause).Msg("leadership lost")
 	e.Lost(t, cause)
 }
 
--- a/elect/lease.go
+++ b/elect/lease.go
@@ -82,12 +82,12 @@
 func (e *Elector) onLeaseGranted(_ context.Context, m leaseGranted) {
 	e.granting = false
 	if m.err != nil {
-		e.Log.Warn().Err(m.err).Msg("requesting a lease failed")
+		e.noteFailure(m.err, "requesting a lease failed")
 		return
 	}
 	e.lease, e.registeredAt, e.keyWrittenAt, e.renewedAt = m.lease, e.Clock.Now(), e.Clock.Now(), e.Clock.Now()
 	e.prove(m.sent)
-	e.Log.Info().Int64("lease", m.lease).Dur("ttl", e.TTL).Msg("entry registered")
+	e.logRegistered(m)
 }
 
 func (e *Elector) onLeaseRenewed(m leaseRenewed) {
@@ -110,7 +110,7 @@
 	if lease == 0 || lease != e.lease {
 		return
 	}
-	e.Log.Warn().Int64("lease", lease).Msg("lease expired")
+	e.sinceRenewal(e.Log.Warn()).Int64("lease", lease).Int("pools", len(e.held)).Msg("lease expired")
 	e.lease = 0
 	for pool := range e.held {
 		e.lose(pool, "lease ended")
