soak, fakes: split pools between two groups of entries, and place entries and workers

Entries and machines are now in z0 to z2 in turn. A pool split puts the entries into two groups and the workers of each pool as well; the stand-ins of workers lose, reset or refuse the calls of the other group. They know the entry by the fencing token of the call, of which the store's stand-in remembers all holders.

--- a/fakes/kv.go
+++ b/fakes/kv.go
@@ -49,6 +49,9 @@
 	// get, grant, renew, revoke) and key; nil stands for NoFault. It is set before the
 	// first call.
 	InjectFault func(op, key string) CallFault
+	// OnPut is called, unless nil, for each item that is written. The store is locked. It is set
+	// before the first call.
+	OnPut func(plat.Item)
 
 	mu           sync.Mutex
 	rev          int64
@@ -282,6 +285,9 @@
 		item := plat.Item{Key: p.Key, Value: slices.Clone(p.Value), Rev: k.rev}
 		k.items[p.Key] = item
 		k.events = append(k.events, item)
+		if k.OnPut != nil {
+			k.OnPut(item)
+		}
 		delete(k.leaseByKey, p.Key)
 		if p.Lease != 0 {
 			k.leaseByKey[p.Key] = p.Lease
--- a/fakes/site/site.go
+++ b/fakes/site/site.go
@@ -71,6 +71,7 @@
 	twists  Twists
 
 	hooks Machines
+	path  func(worker string, fence int64) Path // see SetPaths; nil if all are open
 
 	writes, reads *rate.Limiter // of calls to the store
 	throttled     atomic.Int64
@@ -164,8 +165,9 @@
 
 // Entry is what the settings say of one entry.
 type Entry struct {
-	Name, Callers, Readiness string // addresses are IP:port
-	Store, Fleet             string
+	Name, Centre       string
+	Callers, Readiness string // addresses are IP:port, as the next
+	Store, Fleet       string
 	// Reloads is a count that changes with each reload of the settings.
 	Reloads int
 }
@@ -173,7 +175,7 @@
 // Settings returns the settings file of an entry.
 func (s *Site) Settings(e *Entry) string {
 	lines := []string{
-		"NodeName=" + e.Name, "Zone=z1", "ListenAddrs.Frontend=" + e.Callers, "ListenAddrs.Readiness=" + e.Readiness,
+		"NodeName=" + e.Name, "Zone=" + e.Centre, "ListenAddrs.Frontend=" + e.Callers, "ListenAddrs.Readiness=" + e.Readiness,
 		"platform.Address=" + e.Store, "Cloud.Address=" + e.Fleet, "Limits.MaxFds=4100",
 		fmt.Sprintf("HeartbeatMs=%d", Heartbeat.Milliseconds()), fmt.Sprintf("Bounds.GraceS=%g", GracePeriod.Seconds()),
 		fmt.Sprintf("Bounds.HoldMaxMs=%d", MaxLease.Milliseconds()), "Bounds.StopMs=200", "Bounds.DrainMs=2000",
--- a/fakes/site/worker.go
+++ b/fakes/site/worker.go
@@ -25,6 +25,10 @@
 	mux.HandleFunc("POST /-/run-stop", h.stop)
 	mux.HandleFunc("POST /-/hold", h.hold)
 	mux.HandleFunc("POST /-/pace", h.pace)
+	var serve http.Handler = mux
+	if s.path != nil {
+		serve = s.alongPath(id, mux)
+	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if want := r.Header.Get("X-Expected-Instance"); want != "" && want != id {
 			w.WriteHeader(http.StatusMisdirectedRequest)
@@ -33,7 +37,7 @@
 		if !s.workers.Up(id) {
 			abort()
 		}
-		mux.ServeHTTP(w, r)
+		serve.ServeHTTP(w, r)
 	})
 }
 
--- a/soak/check.go
+++ b/soak/check.go
@@ -72,10 +72,11 @@
 	excused    int
 	faults     map[string]int
 	skipped    int
+	lost       map[string]int // calls that pool splits lost, by pool and group of entries
 }
 
 func newChecks(logger *log.Logger) *checks {
-	return &checks{log: logger, begun: time.Now(), counts: map[string]int{}, faults: map[string]int{}, onViolation: func(string) {}}
+	return &checks{log: logger, begun: time.Now(), counts: map[string]int{}, faults: map[string]int{}, lost: map[string]int{}, onViolation: func(string) {}}
 }
 
 // check counts a check of a promise, which is broken unless it holds.
@@ -195,6 +196,12 @@
 	}
 }
 
+func (c *checks) countLost(by string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lost[by]++
+}
+
 // violationsPeriod is how often the violations that the workers found are read.
 const violationsPeriod = 50 * time.Millisecond
 
@@ -231,7 +238,7 @@
 	defer s.checks.mu.Unlock()
 	c := s.checks
 	r.Took, r.Faults, r.Skipped, r.Excused, r.Stalled = time.Since(c.begun), maps.Clone(c.faults), c.skipped, c.excused, c.stalled
-	r.SlowestRecovery, r.Checks = c.slowest, maps.Clone(c.counts)
+	r.SlowestRecovery, r.Checks, r.Lost = c.slowest, maps.Clone(c.counts), maps.Clone(c.lost)
 	r.Violations = append([]Violation{}, c.violations...)
 	for _, name := range checkedAtStart {
 		r.Checks[name] += r.Starts
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -55,7 +55,8 @@
 		"worker crashed":        {3, 500 * time.Millisecond, 4 * time.Second, true, onWorker(crashWorker)},
 		"worker drained":        {2, 2500 * time.Millisecond, 5 * time.Second, true, onWorker(drainWorker)},
 		"worker shrunk":         {1, 6 * time.Second, 8 * time.Second, true, onWorker(shrinkWorker)},
-		"entry odd":             {0, 0, 0, true, oddEntry}, // see oddSchedule
+		"entry odd":             {0, 0, 0, true, oddEntry},    // see oddSchedule
+		"pool split":            {0, 0, 0, false, splitPools}, // see splitSchedule
 	}
 }
 
--- a/soak/odd.go
+++ b/soak/odd.go
@@ -61,13 +61,6 @@
 	return out
 }
 
-// withOdd adds the odd entries of a run to its schedule.
-func withOdd(events []event, seed uint64, d time.Duration) []event {
-	all := append(events, oddSchedule(seed, d)...)
-	slices.SortStableFunc(all, func(a, b event) int { return int(a.At - b.At) })
-	return all
-}
-
 // oddEntry makes the entry of a worker odd, or adds an odd copy of it under an ID that no worker
 // has.
 func oddEntry(ctx context.Context, s *Soak, e event) bool {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -14,6 +15,7 @@
 	streamLoad   = 2
 	streamStore  = 3
 	streamOdd    = 4
+	streamSplit  = 5
 )
 
 // event is a fault of a schedule.
@@ -50,3 +52,10 @@
 	}
 	return out
 }
+
+// merge returns the faults of two schedules in the order of their begins.
+func merge(a, b []event) []event {
+	all := slices.Concat(a, b)
+	slices.SortStableFunc(all, func(a, b event) int { return cmp.Compare(a.At, b.At) })
+	return all
+}
--- a/soak/report.go
+++ b/soak/report.go
@@ -29,6 +29,9 @@
 	// that don't count because of a fault.
 	Skipped int `json:"skipped"`
 	Excused int `json:"excused"`
+	// Lost is the number of calls and answers that pool splits lost, by pool and group of
+	// entries.
+	Lost map[string]int `json:"lost"`
 	// Stalled is for how long nothing ran on the machine.
 	Stalled         time.Duration  `json:"stalled_ns"`
 	SlowestRecovery time.Duration  `json:"slowest_recovery_ns"`
@@ -60,6 +63,9 @@
 	fmt.Fprintf(w, "seed %d: %d entries, %d workers, %s\n", r.Seed, r.Entries, r.Workers, r.Took.Round(100*time.Millisecond))
 	fmt.Fprintf(w, "jobs: %s; %d starts, %.1f a second; %d orders on machines\n", counts(r.Jobs), r.Starts, float64(r.Starts)/r.Took.Seconds(), r.Orders)
 	fmt.Fprintf(w, "faults: %s; %d skipped\n", counts(r.Faults), r.Skipped)
+	if len(r.Lost) > 0 {
+		fmt.Fprintf(w, "lost in splits: %s\n", counts(r.Lost))
+	}
 	fmt.Fprintf(w, "slowest recovery: %s; excused: %d; throttled: %d; stalled: %s\n\n",
 		r.SlowestRecovery.Round(time.Millisecond), r.Excused, r.Throttled, r.Stalled.Round(time.Millisecond))
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -10,6 +10,8 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,6 +38,8 @@
 	Dir     string  // for logs, settings and the report
 	// Odd leaves odd entries among those of the workers, beside the other faults.
 	Odd bool
+	// Split splits pools between two groups of entries, beside the other faults.
+	Split bool
 	// Settle is the longest time from the last fault until all jobs must have ended.
 	Settle time.Duration
 	// plant is a fault that the soak must notice, and at which it ends then.
@@ -80,6 +84,8 @@
 	fleet   string // address
 
 	storeFault  atomic.Pointer[func(op, key string) fakes.CallFault]
+	split       atomic.Pointer[split] // nil without one
+	senders     sync.Map              // sender by fencing token, of all that the store has seen
 	busyWorkers atomic.Int64
 	interrupted func() bool
 	checks      *checks
@@ -133,10 +139,12 @@
 		}
 		return fakes.NoFault
 	}
+	s.kv.OnPut = s.recordSender
 	s.workers.DecideRun = s.decideRun
 	s.caller.Twist = opt.plant.answer
 	s.workers.PoolOf = site.Pools
 	s.site = site.New(s.kv, s.workers, site.Machines{Left: s.dropWorker, Back: s.returnMachine}, opt.plant.Twists)
+	s.site.SetPaths(s.path)
 	if err := s.start(); err != nil {
 		s.Close()
 		return nil, err
@@ -204,7 +212,7 @@
 		return err
 	}
 	en := &entry{
-		Entry: site.Entry{Name: name, Callers: s.net.address(), Readiness: s.net.address(), Store: l.listen, Fleet: s.fleet},
+		Entry: site.Entry{Name: name, Centre: centreName(i), Callers: s.net.address(), Readiness: s.net.address(), Store: l.listen, Fleet: s.fleet},
 		file:  filepath.Join(s.opt.Dir, name+".conf"), log: filepath.Join(s.opt.Dir, name+".log"), store: l,
 	}
 	s.writeSettings(en)
@@ -236,6 +244,12 @@
 	}()
 }
 
+// centres is the number of data centres.
+const centres = 3
+
+// centreName returns the data centre of the entry or machine with a number.
+func centreName(number int) string { return fmt.Sprintf("z%d", number%centres) }
+
 // addWorker adds a worker with a new ID on a machine.
 func (s *Soak) addWorker(machine, pool string) error {
 	s.mu.Lock()
@@ -252,8 +266,9 @@
 		return err
 	}
 	rack := fmt.Sprintf("r%d", n%2)
+	number, _ := strconv.Atoi(strings.TrimPrefix(machine, "m"))
 	w := &worker{link: l, Worker: hosts.Worker{
-		ID: id, Pool: pool, Address: l.listen, Centre: "z1", Capacity: capacity, Labels: []string{"plain", rack}, Rack: rack, Host: machine,
+		ID: id, Pool: pool, Address: l.listen, Centre: centreName(number), Capacity: capacity, Labels: []string{"plain", rack}, Rack: rack, Host: machine,
 	}}
 	s.workers.Join(w.Worker)
 	s.site.Enter(w.Worker)
@@ -375,7 +390,10 @@
 		events = schedule(s.opt.Seed, s.opt.For, s.opt.Gap)
 	}
 	if s.opt.Odd {
-		events = withOdd(events, s.opt.Seed, s.opt.For)
+		events = merge(events, oddSchedule(s.opt.Seed, s.opt.For))
+	}
+	if s.opt.Split {
+		events = merge(events, splitSchedule(s.opt.Seed, s.opt.For))
 	}
 	for _, e := range events {
 		wait(ctx, time.Until(s.begun.Add(e.At)))
