soak: reproduce two owners of one pool, each with a part of its workers

An owner is cut from the store and from half of the workers of both pools, for 11 s; its successor is cut from the other half. Half of the jobs last, the runs of the others take longer than a lease.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -3,9 +3,10 @@
 import (
 	"bytes"
 	"context"
-	"crypto/rand"
+	crand "crypto/rand"
 	"flag"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/exec"
@@ -120,6 +121,47 @@
 	require.Positive(t, r.Faults["entry odd"])
 }
 
+// TestPoolSplits runs a short soak in which pools are split, beside the other faults.
+func TestPoolSplits(t *testing.T) {
+	t.Parallel()
+	opt := short(1, 15*time.Second)
+	opt.Entries, opt.Workers, opt.Split = 5, 12, true
+	r := runSoak(t, opt)
+	require.Empty(t, r.Violations)
+	require.Positive(t, r.Faults["pool split"])
+	require.NotEmpty(t, r.Lost)
+}
+
+// pickSplit returns the pick of an event that has a manner of a split.
+func pickSplit(is func(splitPlan) bool) int {
+	pick := 0
+	for !is(drawSplit(rand.New(rand.NewPCG(uint64(pick), streamSplit)))) {
+		pick++
+	}
+	return pick
+}
+
+// TestPoolSplitBetweenTwoOwners splits a pool in halves: its owner reaches one of them and not the
+// store, its successor reaches the other one. Some jobs last, and the others are longer than a lease.
+func TestPoolSplitBetweenTwoOwners(t *testing.T) {
+	t.Parallel()
+	opt := short(1, 14*time.Second)
+	opt.Entries, opt.Workers, opt.Rate = 5, 12, 3
+	halves := pickSplit(func(p splitPlan) bool {
+		return p == splitPlan{cutOwner: true, path: site.Silent}
+	})
+	opt.plant = plant{events: []event{{Kind: "pool split", At: 2 * time.Second, For: 11 * time.Second, Pick: halves}}, load: func(l *load) {
+		lasts := l.ID[0] < '8'
+		l.Steps, l.Repetitions, l.failFirst, l.cancelAt = []steps.Step{{Count: 2, CPU: 400, Mem: 100, LongRunning: lasts}}, 0, 0, 0
+		l.length = 6 * time.Second
+	}}
+	r := runSoak(t, opt)
+	require.Empty(t, r.Violations)
+	require.Equal(t, 1, r.Faults["pool split"])
+	require.Positive(t, r.Lost["bakers group 0"], "no owner in one group")
+	require.Positive(t, r.Lost["bakers group 1"], "no owner in the other group")
+}
+
 // TestHangup checks that an entry survives SIGHUP, also while it stops.
 func TestHangup(t *testing.T) {
 	t.Parallel()
@@ -136,6 +178,10 @@
 	require.NotEmpty(t, first)
 	require.Equal(t, first, schedule(7, time.Minute, time.Second))
 	require.NotEqual(t, first, schedule(8, time.Minute, time.Second))
+	splits := splitSchedule(7, time.Minute)
+	require.NotEmpty(t, splits)
+	require.Equal(t, splits, splitSchedule(7, time.Minute))
+	require.NotEqual(t, splits, splitSchedule(8, time.Minute))
 }
 
 // everyFourth tells whether a key under a prefix is one of four that are picked.
@@ -220,7 +266,7 @@
 			}
 			return status, state
 		}},
-		"orders for machines seem to come from two senders": {promise: "ONE", events: twoWaves, Twists: site.Twists{Sender: func(string, int64) (string, int64) { return rand.Text(), 1 }}},
+		"orders for machines seem to come from two senders": {promise: "ONE", events: twoWaves, Twists: site.Twists{Sender: func(string, int64) (string, int64) { return crand.Text(), 1 }}},
 		"machines are said to be maintained and aren't":     {promise: "MIXED", events: twoWaves, Twists: site.Twists{SkipOrder: func(string) bool { return true }}},
 		"another payload is handed in":                      {promise: "UNASKED", apart: func(j steps.Job) *steps.Job { j.Payload += "?"; return &j }},
 		"cancels are lost":                                  {promise: "UNASKED", noCancel: true, load: func(l *load) { chain(8, 0)(l); l.cancelAt = time.Millisecond }},
