owner: test a pool that is split between two owners

The two runs were ordered by different entries.

The test cuts an owner from the store and from a part of its workers for 15 s, and all other entries from the other part. The owner goes on starting and renewing on its part. Its successor can't reach that part, gives it up after one lease, and starts the subtasks elsewhere. An end as done that the former owner's workers hold is acknowledged after the split, since long-running subtasks have kept the lease.

The model's cuts now lose the answers that are under way and take as long as a call without an answer; they hold for paces and grants as well, and an owner that is cut from the store hears of no new registration.

--- a/owner/pool_test.go
+++ b/owner/pool_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -71,6 +73,12 @@
 	stats   *owner.Stats // of the owners of the pool
 	// retention is how long ended jobs are kept.
 	retention time.Duration
+	// split keeps entries from workers and from the store; nil unless the pool is split.
+	split *split
+	// storeAway makes all calls of entries to the store fail.
+	storeAway bool
+	// slow has the time by which the answers of a worker are late.
+	slow map[string]time.Duration
 }
 
 // entry is one process that takes part in the pool's election.
@@ -106,34 +114,70 @@
 
 // orders returns the calls to workers that an entry makes.
 func (pool *testPool) orders(e *entry) owner.Workers {
-	reach := func(ctx context.Context, to runs.Target) error {
-		pool.mu.Lock()
-		defer pool.mu.Unlock()
-		if e.cutFrom[to.ID] {
-			return plat.ErrUnknown
-		}
-		return ctx.Err()
-	}
 	return owner.Workers{
-		Start: func(ctx context.Context, to runs.Target, s runs.Start) (runs.Reply, error) {
-			if err := reach(ctx, to); err != nil {
-				return runs.Reply{}, err
-			}
-			return pool.start(ctx, to, s)
+		Start: func(ctx context.Context, to runs.Target, s runs.Start) (r runs.Reply, err error) {
+			err = pool.reach(ctx, e, to, func() error {
+				r, err = pool.start(ctx, to, s)
+				return err
+			})
+			return r, err
 		},
-		Stop: func(ctx context.Context, to runs.Target, s runs.Stop) (runs.Reply, error) {
-			if err := reach(ctx, to); err != nil {
-				return runs.Reply{}, err
-			}
-			return pool.workers.Stop(ctx, to, s)
+		Stop: func(ctx context.Context, to runs.Target, s runs.Stop) (r runs.Reply, err error) {
+			err = pool.reach(ctx, e, to, func() error {
+				r, err = pool.workers.Stop(ctx, to, s)
+				return err
+			})
+			return r, err
 		},
-		Renew: func(ctx context.Context, to runs.Target, n runs.Renew) (runs.Report, error) {
-			if err := reach(ctx, to); err != nil {
-				return runs.Report{}, err
-			}
-			return pool.renew(ctx, to, n)
+		Renew: func(ctx context.Context, to runs.Target, n runs.Renew) (r runs.Report, err error) {
+			err = pool.reach(ctx, e, to, func() error {
+				r, err = pool.renew(ctx, to, n)
+				return err
+			})
+			return r, err
 		},
-		Pace: pool.workers.Pace,
+		Pace: func(ctx context.Context, to runs.Target, p runs.Pace) (r runs.Reply, err error) {
+			err = pool.reach(ctx, e, to, func() error {
+				r, err = pool.workers.Pace(ctx, to, p)
+				return err
+			})
+			return r, err
+		},
+	}
+}
+
+// reach makes a call of an entry to a worker. Neither the call nor its answer passes a cut.
+func (pool *testPool) reach(ctx context.Context, e *entry, to runs.Target, call func() error) error {
+	if pool.isCutFrom(e, to.ID) {
+		return noAnswer(ctx)
+	}
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	err := call()
+	pool.mu.Lock()
+	late := pool.slow[to.ID]
+	pool.mu.Unlock()
+	if late > 0 && !errors.Is(err, plat.ErrUnavailable) {
+		select {
+		case <-time.After(late):
+		case <-ctx.Done():
+			return fmt.Errorf("%w: %w", plat.ErrUnknown, ctx.Err())
+		}
+	}
+	if pool.isCutFrom(e, to.ID) {
+		return noAnswer(ctx)
+	}
+	return err
+}
+
+// noAnswer waits as a call without an answer does.
+func noAnswer(ctx context.Context) error {
+	select {
+	case <-time.After(700 * time.Millisecond):
+		return plat.ErrUnknown
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", plat.ErrUnknown, ctx.Err())
 	}
 }
 
@@ -194,9 +238,7 @@
 		e.turn, e.line = fakes.NewAdvisorTurn(), advice.New(quartz.NewReal())
 	}
 	cutOr := func(err error) error {
-		pool.mu.Lock()
-		defer pool.mu.Unlock()
-		if e.cut {
+		if pool.isCutFromStore(e) {
 			return plat.ErrUnknown
 		}
 		return err
@@ -238,7 +280,14 @@
 			}
 			return pool.commit(ctx, t)
 		},
-		Get: pool.kv.Get, Grant: pool.kv.Grant,
+		Get: pool.kv.Get,
+		Grant: func(ctx context.Context, ttl time.Duration) (int64, error) {
+			if err := cutOr(nil); err != nil {
+				pause(ctx)
+				return 0, err
+			}
+			return pool.kv.Grant(ctx, ttl)
+		},
 		Renew: func(ctx context.Context, id int64) error {
 			if err := cutOr(nil); err != nil {
 				pause(ctx)
@@ -294,11 +343,17 @@
 		}
 	}()
 	go func() {
+		var known []hosts.Worker
 		for run.Err() == nil {
 			pool.mu.Lock()
 			list := pool.list
 			pool.mu.Unlock()
-			o.SetWorkers(list(), nil)
+			registered := list()
+			if known != nil && pool.isCutFromStore(e) {
+				registered = withoutNews(known, registered)
+			}
+			known = registered
+			o.SetWorkers(slices.Clone(known), nil)
 			select {
 			case <-time.After(700 * time.Millisecond):
 			case <-run.Done():
@@ -307,6 +362,20 @@
 	}()
 }
 
+// withoutNews returns the workers that an owner knows which hears of no registration. It does
+// hear of changed ones, as the checks of drains and capacities ask that of every owner.
+func withoutNews(known, registered []hosts.Worker) []hosts.Worker {
+	out := slices.Clone(known)
+	for i, w := range out {
+		for _, r := range registered {
+			if r.ID == w.ID && r.StartedMs == w.StartedMs {
+				out[i] = r
+			}
+		}
+	}
+	return out
+}
+
 // lost ends the owner in an entry that has lost the election.
 func (pool *testPool) lost(e *entry) {
 	pool.mu.Lock()
