owner: act for a pool only on evidence that no other owner does

Cause: an owner that can't reach the store went on without end on the workers that it reached, and its successor gave up the workers that it didn't reach one lease after its first polls. Each counted on something that the other had not promised. In the other direction too: the earlier owner gave up the workers that its successor had adopted.

Change: an owner acts on evidence, which has a time. Either the store has answered a call that proves the election, or a majority of the voters, which are the workers in a document in the store, has obeyed its token since then, for 30 s after the store's last word at most. Starts and leases need evidence of the last 2 s, and each lease ends at most 4.3 s after it. A worker that doesn't answer is given up once its lease is over, counted from the time when no earlier owner can have evidence any more: a majority of the voters has answered this owner, or all earlier owners have ended, or 30 s have passed; and only if the store has proved since then that there is no later owner. Two majorities share a worker, and it obeys the later owner alone. The voters in the store change only when no earlier owner can have evidence. Restarts without such rules (doubtLease, the pause after a suspension) are gone: the age of the evidence covers them.

Leases are renewed each 250 ms in elections, so that leases of workers stay 4 s long.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -270,7 +270,8 @@
 			Start: a.workers.Start, Stop: a.workers.Stop, Renew: a.workers.Renew, Pace: a.workers.Pace,
 		},
 		ReadPlan:   func(ctx context.Context) (owner.PoolPlan, error) { return a.readPoolPlan(ctx, t.Pool) },
-		AskAdvisor: a.advisor.Ask, Advice: a.advice, Proven: a.elector.Proven, SinceBoot: sinceBoot,
+		AskAdvisor: a.advisor.Ask, Advice: a.advice, Proven: a.elector.Proven, ProvenAt: a.elector.ProvenAt,
+		FormerEnded: func() bool { return false }, Settled: func() {}, SinceBoot: sinceBoot,
 		Clock: a.clock, Log: a.log, Stats: a.stats,
 	})
 	a.addRunner(t, o, stop)
--- a/elect/elect.go
+++ b/elect/elect.go
@@ -134,8 +134,9 @@
 	watchTimeout = 2 * time.Second
 	// retryDelay is the pause after a failed call to the store.
 	retryDelay = 100 * time.Millisecond
-	// renewalsPerTTL is how often a lease is renewed within its TTL.
-	renewalsPerTTL = 4
+	// renewalInterval is how often the lease is renewed: owners count the leases of workers from
+	// it.
+	renewalInterval = 250 * time.Millisecond
 )
 
 // New returns an elector; Run starts it.
--- a/elect/lease.go
+++ b/elect/lease.go
@@ -33,7 +33,7 @@
 		go func() {
 			e.send(ctx, registered{id, e.register(ctx, id)})
 		}()
-	case e.lease != 0 && !e.renewing && now.Sub(e.renewedAt) >= e.TTL/renewalsPerTTL:
+	case e.lease != 0 && !e.renewing && now.Sub(e.renewedAt) >= renewalInterval:
 		e.renewing = true
 		id := e.lease
 		go func() {
@@ -133,3 +133,9 @@
 // have been elected in its place. While the store can't be reached, it does not report so,
 // although nobody can be elected then. It is safe for concurrent use.
 func (e *Elector) Proven() bool { return int64(e.SinceBoot()) < e.provenUntil.Load() }
+
+// ProvenAt returns when, by SinceBoot, the last call was sent by which the store has proved
+// that the entry's lease lasts.
+func (e *Elector) ProvenAt() time.Duration {
+	return time.Duration(e.provenUntil.Load()) - e.TTL + leaseMargin
+}
--- a/owner/act.go
+++ b/owner/act.go
@@ -253,7 +253,7 @@
 func (o *Owner) startRun(h *host, j *job, t *steps.Task, run int, now time.Time) {
 	line := o.startLine(j, t)
 	t.Phase, t.WorkerID, t.Run, t.PhaseSince, t.Percent = steps.Starting, h.id, run, now, 0
-	p := &placement{task: t, job: j, run: run, announced: t.Announced(run), checkpoint: t.StartCheckpoint(), share: fullShare, leaseUntil: h.workerClock(now) + startLease.Milliseconds()}
+	p := &placement{task: t, job: j, run: run, announced: t.Announced(run), checkpoint: t.StartCheckpoint(), share: fullShare, leaseUntil: h.workerClock(now) + min(startLease, o.leaseLength()).Milliseconds()}
 	o.reserveRoom(h, p)
 	j.lastStart = now
 	h.leaseUntil = max(h.leaseUntil, p.leaseUntil)
@@ -325,7 +325,7 @@
 	case errors.Is(m.err, runs.ErrFence):
 		o.depose("a worker has heard a higher token")
 	case errors.Is(m.err, runs.ErrIncarnation):
-		o.loseIncarnation(h, "another worker answers at the address")
+		o.evictIncarnation(h)
 	case errors.Is(m.err, plat.ErrUnknown), errors.Is(m.err, plat.ErrUnavailable) && p.mayHaveStarted():
 		o.startUnanswered(h, p, m.err, now)
 	default:
@@ -469,7 +469,7 @@
 	case errors.Is(m.err, runs.ErrFence):
 		o.depose("a worker has heard a higher token")
 	case errors.Is(m.err, runs.ErrIncarnation):
-		o.loseIncarnation(h, "another worker answers at the address")
+		o.evictIncarnation(h)
 	default:
 		p.retryAt = now.Add(retryDelay(p.stopTries, orderRetryDelay))
 		o.Log.Warn().Str("task", p.task.ID.String()).Int("run", p.run).Str("host", h.id).Err(m.err).Msg("stop not confirmed; retrying")
@@ -480,7 +480,7 @@
 func (o *Owner) retryOrders(now time.Time) {
 	for _, h := range o.hosts {
 		for _, p := range h.runs {
-			if p.inFlight || p.retryAt.IsZero() || now.Before(p.retryAt) {
+			if p.inFlight || p.retryAt.IsZero() || now.Before(p.retryAt) || !p.stopping && !o.inCharge() {
 				continue
 			}
 			p.retryAt = time.Time{}
--- /dev/null
+++ b/owner/charge.go
@@ -0,0 +1,109 @@
+package owner
+
+import "time"
+
+const (
+	// maxEvidenceAge is the age of its evidence up to which an owner gives starts and leases: an
+	// election that is not renewed ends within it, and there is time for a round of polls.
+	maxEvidenceAge = 2 * time.Second
+	// maxUnproven is for how long owners go on by the word of the workers alone while the store
+	// can't be reached. A later owner that reaches no majority of the workers, and does not know
+	// that the earlier ones have ended, waits as long.
+	maxUnproven = 30 * time.Second
+)
+
+// updateEvidence updates the time of the evidence that this owner is in charge of its pool: no
+// later one had been elected then, or at least a majority of the voters had not heard of it.
+func (o *Owner) updateEvidence() {
+	o.roundAt = o.SinceBoot()
+	o.noteProof(o.ProvenAt())
+	if o.roundAt-o.provenAt > maxEvidenceAge/2 {
+		o.evidence = max(o.evidence, min(o.obeyedAt(), o.provenAt+maxUnproven))
+	}
+	inCharge := o.inCharge()
+	if inCharge == o.outOfCharge {
+		o.outOfCharge = !inCharge
+		o.passNeeded = o.passNeeded || inCharge
+		o.identify(o.Log.Warn()).Bool("orders", inCharge).Dur("evidence", o.roundAt-o.evidence).Dur("proof", o.roundAt-o.provenAt).
+			Int("hosts", len(o.hosts)).Msg("evidence that no later owner acts has come or gone")
+	}
+}
+
+// noteProof records that the store has proved by a call sent at a time, by SinceBoot, that this
+// owner's election was in force.
+func (o *Owner) noteProof(sent time.Duration) {
+	o.provenAt = max(o.provenAt, sent)
+	o.evidence = max(o.evidence, o.provenAt)
+}
+
+// inCharge reports whether the owner may give starts and leases. A later owner that can't reach
+// a worker gives it up once every lease that this one may have given there is over.
+func (o *Owner) inCharge() bool { return o.roundAt-o.evidence <= maxEvidenceAge }
+
+// leaseLength returns the length of the leases that the owner gives now, not positive if it
+// must give none. Each ends at most leaseHorizon after the evidence.
+func (o *Owner) leaseLength() time.Duration {
+	return min(time.Duration(float64(o.Bounds.MaxLease)*leaseFraction), leaseCap, o.evidence+leaseHorizon-o.roundAt)
+}
+
+// checkFormer notes when the earlier owners have given their last lease at the latest, so that
+// workers that don't answer can be given up one lease later.
+func (o *Owner) checkFormer(now time.Time) {
+	if !o.formerOver.IsZero() {
+		return
+	}
+	over, cause := now, ""
+	switch {
+	case o.Term <= 1:
+		over, cause = o.pollsSince, "there was none"
+	case o.FormerEnded():
+		cause = "they have ended"
+	case o.formerFenced():
+		cause = "a majority of the workers refuses their tokens"
+	case now.Sub(o.pollsSince) >= maxUnproven:
+		over, cause = o.pollsSince.Add(maxUnproven), "they had no majority of the workers for long"
+	default:
+		o.warnOfFormer(now)
+		return
+	}
+	o.formerOver, o.electorates.changed = over, true
+	o.identify(o.Log.Info()).Str("cause", cause).Dur("after", now.Sub(o.pollsSince)).
+		Int("voters", len(o.electorates.former)).Int("refusing", len(o.electorates.fenced)).Int("unread", o.unansweredHosts()).
+		Msg("earlier owners give no leases any more")
+	if o.Term > 1 {
+		o.Settled()
+	}
+}
+
+// formerWarning is the time after the first polls from which waiting for earlier owners is
+// worth a warning: answers to the first polls take less.
+const formerWarning = time.Second
+
+// warnOfFormer warns once that this owner waits for earlier ones.
+func (o *Owner) warnOfFormer(now time.Time) {
+	if o.formerWarned || now.Sub(o.pollsSince) < formerWarning {
+		return
+	}
+	o.formerWarned = true
+	o.identify(o.Log.Warn()).Int("voters", len(o.electorates.former)).Int("refusing", len(o.electorates.fenced)).Int("unread", o.unansweredHosts()).
+		Msg("an earlier owner may be in charge of workers that don't answer; waiting for it")
+}
+
+// leaseOver reports whether every lease on a worker has expired for certain, and no later owner
+// can have extended one before: none had been elected by then.
+func (o *Owner) leaseOver(h *host, now time.Time) bool {
+	from, proven := o.leasesFrom(now), now.Add(o.provenAt-o.roundAt)
+	return h.leaseExpired(now, from) && h.leaseExpired(proven.Add(leaseSlack), from)
+}
+
+// leasesFrom returns the time from which on no earlier owner gives leases; now if it is not known.
+func (o *Owner) leasesFrom(now time.Time) time.Time {
+	switch {
+	case !o.formerOver.IsZero():
+		return o.formerOver
+	case o.Term <= 1:
+		return o.pollsSince
+	default:
+		return now
+	}
+}
--- a/owner/former.go
+++ b/owner/former.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// formerPeriod is how long after this owner's first polls an order of an earlier one may
-	// be carried out: that one may hear of its end later.
-	formerPeriod = maxOrderDelay + time.Second
+	// formerPeriod is how long after the last evidence that an earlier owner can have had its
+	// orders may be carried out.
+	formerPeriod = maxOrderDelay + maxEvidenceAge
 	// formerPollInterval is how often idle workers are polled meanwhile. These polls don't
 	// wait, as a worker that is polled does not count as empty.
 	formerPollInterval = 250 * time.Millisecond
@@ -23,7 +23,7 @@
 // formerOrdersMayCome reports whether orders of an earlier owner may still be carried out by
 // an incarnation that has not seen this owner's token.
 func (o *Owner) formerOrdersMayCome(now time.Time) bool {
-	return o.Term > 1 && now.Sub(o.pollsSince) < formerPeriod
+	return o.Term > 1 && now.Sub(o.leasesFrom(now)) < formerPeriod
 }
 
 // announceTokenAt tells whatever answers next at the address of a lost worker this owner's
--- a/owner/host.go
+++ b/owner/host.go
@@ -36,8 +36,10 @@
 	// clock is the worker's clock, in milliseconds, as read at clockAt or earlier.
 	clock   int64
 	clockAt time.Time
-	// lastReport is when the last poll that was answered was sent.
+	// lastReport is when the last poll that was answered was sent, and obeyedAt the same by
+	// SinceBoot.
 	lastReport time.Time
+	obeyedAt   time.Duration
 	// leaseUntil is the end of the longest lease given, in milliseconds of the
 	// worker's clock.
 	leaseUntil int64
@@ -102,16 +104,15 @@
 	// leaseFraction is the fraction of Bounds.MaxLease that is given: short enough
 	// for a quick restart of runs after a crash, long enough to outlast an election.
 	leaseFraction = 0.6
-	// leaseCap limits the length of a lease, also that of a start, to twice the time of
-	// an election and a takeover. A later owner relies on it, so that owners of all
-	// versions must keep to it.
+	// leaseCap limits the length of a lease, also that of a start, to twice the time of an
+	// election and a takeover.
 	leaseCap = 4 * time.Second
-	// doubtLease replaces leaseCap while it is in doubt whether the election is in force. A
-	// later owner waits for leaseCap from its first polls; this one hears of them from any
-	// worker within doubtPollWait and a poll, and has given no lease beyond that wait then.
-	doubtLease = 3 * time.Second
-	// doubtPollWait replaces pollWait meanwhile, and doubtPollInterval is how often idle
-	// workers are polled.
+	// leaseHorizon is how long after an owner's evidence its leases may end: leaseCap, and the
+	// time from one renewal of the election to the next. A later owner relies on it, so that
+	// owners of all versions must keep to it.
+	leaseHorizon = leaseCap + 300*time.Millisecond
+	// doubtPollWait replaces pollWait while it is in doubt whether the election is in force, and
+	// doubtPollInterval is how often idle workers are polled then.
 	doubtPollWait     = 500 * time.Millisecond
 	doubtPollInterval = 500 * time.Millisecond
 	// maxClockAge is the age from which an idle worker's clock is read again, as its
@@ -151,10 +152,9 @@
 
 // leaseExpired reports whether every lease on the worker has expired for certain.
 // A worker that has not answered this owner may have a lease of an earlier owner, which
-// gave none longer than leaseCap from a lower bound of the worker's clock, and none
-// since the first poll was sent: that would have been answered.
-func (h *host) leaseExpired(now, pollsSince time.Time) bool {
-	from, lease := pollsSince, leaseCap
+// ends by a lower bound of the worker's clock at most leaseHorizon after leasesFrom.
+func (h *host) leaseExpired(now, leasesFrom time.Time) bool {
+	from, lease := leasesFrom, leaseHorizon
 	if h.answered {
 		from, lease = h.clockAt, time.Duration(h.leaseUntil-h.clock)*time.Millisecond
 	}
@@ -167,15 +167,6 @@
 	return h.listed && h.answered && h.failingSince.IsZero() && h.claim == nil && !h.unreadable && !h.worker.Draining && h.releaseTask == 0 && !h.resting && len(h.unacked) < maxUnacked && h.rosterVersion <= storedRoster && !now.Before(h.noRoomUntil)
 }
 
-// leaseLength returns the length of the leases that the owner gives.
-func (o *Owner) leaseLength() time.Duration {
-	longest := leaseCap
-	if o.inDoubt {
-		longest = doubtLease
-	}
-	return min(time.Duration(float64(o.Bounds.MaxLease)*leaseFraction), longest)
-}
-
 // updateWorkers applies the list of registered workers. One whose registration can't be used
 // gets no starts, and is kept.
 func (o *Owner) updateWorkers(list []hosts.Worker, unreadable []string) {
@@ -250,6 +241,7 @@
 // replaceIncarnation removes a worker that has started again under its ID. The starts that
 // were answered since its last report may have been answered by the next incarnation.
 func (o *Owner) replaceIncarnation(h *host, why string) {
+	o.fence(h.id, h.startedMs)
 	for _, p := range h.runs {
 		if p.lastSentAt().After(h.lastReport) {
 			o.recordUnanswered(h, p)
@@ -258,6 +250,12 @@
 	o.loseIncarnation(h, why)
 }
 
+// evictIncarnation removes a worker at whose address another one answers.
+func (o *Owner) evictIncarnation(h *host) {
+	o.fence(h.id, h.startedMs)
+	o.loseIncarnation(h, "another worker answers at the address")
+}
+
 // loseIncarnation removes a worker that has crashed, or was given up.
 func (o *Owner) loseIncarnation(h *host, why string) {
 	if o.mayHaveEarlierRuns(h) && !h.answered && !o.takeoverDone {
@@ -288,6 +286,7 @@
 		}
 	}
 	delete(o.hosts, h.id)
+	o.electorates.changed = true
 	o.countWithheld(h, -h.withheld)
 	o.blockUnansweredStarts(h)
 	if o.inRoster(h) {
@@ -317,14 +316,14 @@
 	for _, h := range o.hosts {
 		switch {
 		case h.answered && !h.listed && len(h.runs) == 0:
-			if h.leaseExpired(now, o.pollsSince) {
+			if o.leaseOver(h, now) {
 				o.recordLapsed(h, now)
 			}
 			o.endIncarnation(h, "not registered and idle")
 			o.announceTokenAt(h)
 		case h.answered && h.failingSince.IsZero():
-		case h.leaseExpired(now, o.pollsSince):
-			if h.listed && h.answered && !h.mayHaveRestarted() && !h.leaseExpired(now.Add(-unreachableGrace), o.pollsSince) {
+		case o.leaseOver(h, now):
+			if h.listed && h.answered && !h.mayHaveRestarted() && !h.leaseExpired(now.Add(-unreachableGrace), o.leasesFrom(now)) {
 				o.freeLongRunning(h)
 				continue
 			}
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -67,6 +67,9 @@
 	if err := o.readRoster(ctx); err != nil {
 		return 0, err
 	}
+	if err := o.readVoters(ctx); err != nil {
+		return 0, err
+	}
 	plan, err := o.ReadPlan(ctx)
 	if err != nil {
 		return 0, err
--- a/owner/keys.go
+++ b/owner/keys.go
@@ -40,6 +40,8 @@
 
 func rosterKey(pool string) string { return RosterPrefix + pool }
 
+func votersKey(pool string) string { return "voters/" + pool }
+
 // splitKey returns the job ID in a key under JobPrefix, and whether the key is
 // that of the job's cancellation.
 func splitKey(pool, key string) (id string, cancel bool) {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -75,6 +75,13 @@
 	// Proven reports whether the election is certainly in force, so that no later owner can
 	// have been elected. It does not report so while the store can't be reached.
 	Proven func() bool
+	// ProvenAt returns when, by SinceBoot, the call was sent by which the store last proved
+	// that the election was in force.
+	ProvenAt func() time.Duration
+	// FormerEnded reports whether all earlier owners of the pool are known to have ended, and
+	// Settled records that none of them acts any more.
+	FormerEnded func() bool
+	Settled     func()
 	// SinceBoot returns the time since some moment, including the time for which the host
 	// was suspended.
 	SinceBoot func() time.Duration
@@ -92,19 +99,19 @@
 // fields below ctx.
 type Owner struct {
 	Params
-	inbox     chan any        // messages to the loop
-	done      chan struct{}   // closed when Run returns
-	ctx       context.Context // of Run; cancels all calls
-	startedAt time.Time       // when Run began
-	// pollsSince is when the first polls were sent. Until then, an earlier owner may give
-	// leases that this one doesn't hear of.
-	pollsSince     time.Time
+	inbox          chan any        // messages to the loop
+	done           chan struct{}   // closed when Run returns
+	ctx            context.Context // of Run; cancels all calls
+	startedAt      time.Time       // when Run began
+	pollsSince     time.Time       // when the first polls were sent
 	hosts          map[string]*host
 	jobs           map[string]*job
 	openJobs       []*job               // jobs not ended, by rank, then by time of acceptance
 	cancelRequests map[string]time.Time // when each was first read, by job ID; the job may not be known yet
 	writer         writer
 	roster         *doc // the stored list of workers that may have runs of the pool
+	voters         *doc // the stored list of workers that prove who is in charge
+	electorates    electorates
 	digest         *doc // the stored summary of demand and load, for other entries
 
 	// jobsPerSecond is the rate of arriving jobs, as the bits of a float64, for
@@ -165,9 +172,16 @@
 	trialsWait bool
 	// inDoubt tells that a later owner may have been elected.
 	inDoubt bool
-	// advancedAt is when the loop last did what is due, by SinceBoot; 0 before the first time.
-	advancedAt time.Duration
-	ordersFrom time.Time // until then, the owner gives neither starts nor leases
+	// evidence is the latest time, by SinceBoot, at which this owner is known to have been in
+	// charge of the pool, and outOfCharge tells that this is too long ago for orders.
+	evidence    time.Duration
+	outOfCharge bool
+	roundAt     time.Duration // when the current round of the loop began, by SinceBoot
+	provenAt    time.Duration // when the store's last proof of the election was asked for, by SinceBoot
+	// formerOver is when the earlier owners gave the last lease at the latest; zero if it is
+	// not known. formerWarned tells that the log says so.
+	formerOver   time.Time
+	formerWarned bool
 	// restartsWait tells that in the last scheduling pass a subtask waited until its record
 	// is stored.
 	restartsWait bool
@@ -194,6 +208,7 @@
 	}
 	o.seat = p.Advice.Join(func() { o.post(turnGranted{}) }, func() { o.post(turnRecalled{}) })
 	o.roster = &doc{key: rosterKey(p.Pool), encode: o.encodeRoster}
+	o.voters = &doc{key: votersKey(p.Pool), encode: o.encodeVoters}
 	o.digest = &doc{key: DigestKey(p.Pool), encode: o.encodeDigest}
 	return o
 }
@@ -325,7 +340,8 @@
 // advance does all work that is due at now, and returns the time until it must be
 // called again.
 func (o *Owner) advance(now time.Time) time.Duration {
-	o.checkSuspension(now)
+	o.updateEvidence()
+	o.checkFormer(now)
 	o.expireLeases(now)
 	o.stopLeaving(now)
 	o.restWorkers()
@@ -334,8 +350,8 @@
 	if len(o.openJobs) > 0 && now.Sub(o.lastPass) >= maxPassGap {
 		o.passNeeded = true
 	}
-	if o.passNeeded {
-		if wait := max(o.passGap()-now.Sub(o.lastPass), o.ordersFrom.Sub(now)); wait > 0 {
+	if o.passNeeded && o.inCharge() {
+		if wait := o.passGap() - now.Sub(o.lastPass); wait > 0 {
 			next = wait
 		} else {
 			o.passNeeded = false
@@ -347,6 +363,7 @@
 	}
 	o.checkElection()
 	o.forgetUnanswered(now)
+	o.updateVoters()
 	o.retryOrders(now)
 	o.pollHosts(now)
 	o.updateDigest(now)
@@ -364,23 +381,6 @@
 	return max(minPassGap, min(passGapFactor*o.passTime, maxBusyPassGap))
 }
 
-// suspendedFor is the time between two rounds of the loop from which on the entry counts as
-// having been suspended.
-const suspendedFor = time.Second
-
-// checkSuspension makes an owner that was suspended, and may have been replaced meanwhile, ask
-// the workers for a successor before it gives starts or leases: the successor may have given up
-// a worker that it can't reach.
-func (o *Owner) checkSuspension(now time.Time) {
-	at := o.SinceBoot()
-	gap := at - o.advancedAt
-	if o.advancedAt != 0 && gap >= suspendedFor && !o.Proven() {
-		o.ordersFrom = now.Add(doubtPollInterval)
-		o.Log.Warn().Str("pool", o.Pool).Dur("gap", gap).Msg("owner was suspended; asking the workers for a successor")
-	}
-	o.advancedAt = at
-}
-
 // untilNextDue returns the time until the next occurrence of a scheduled job is
 // due, at most tickInterval, and asks for a scheduling pass if one is due by then.
 func (o *Owner) untilNextDue(now time.Time) time.Duration {
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -33,6 +33,7 @@
 	address string // that was called
 	report  runs.Report
 	sent    time.Time
+	begun   time.Duration // sent, by SinceBoot
 	wait    time.Duration // that the worker was allowed
 	acked   int64         // the highest end acknowledged by the poll
 	leased  bool          // the poll extended the lease
@@ -80,7 +81,7 @@
 		// owner has read.
 		n.AckedThrough = h.ackable
 	}
-	if h.answered && h.failingSince.IsZero() && h.needsLease() && !now.Before(o.ordersFrom) {
+	if h.answered && h.failingSince.IsZero() && h.needsLease() && o.inCharge() {
 		// The lease of a worker that does not answer is not extended: otherwise each
 		// poll would postpone the time at which it expires.
 		n.UntilMs = h.workerClock(now) + o.leaseLength().Milliseconds()
@@ -107,7 +108,7 @@
 	}
 	h.polledAt, h.pollAcks = now, n.AckedThrough > 0
 	o.Stats.Polls.Inc(1)
-	to, wait := h.target(), time.Duration(n.WaitMs)*time.Millisecond
+	to, wait, begun := h.target(), time.Duration(n.WaitMs)*time.Millisecond, o.roundAt
 	delay := h.copyDelay(now)
 	within := wait + tryTimeout(h.failedPolls+1, delay)
 	go func() {
@@ -120,7 +121,7 @@
 			}
 			return o.Workers.Renew(ctx, to, n)
 		})
-		o.post(pollResult{h, to.Address, r, now, wait, n.AckedThrough, n.UntilMs > 0, c, err})
+		o.post(pollResult{h, to.Address, r, now, begun, wait, n.AckedThrough, n.UntilMs > 0, c, err})
 	}()
 }
 
@@ -179,7 +180,8 @@
 	}
 	// The worker read its clock when it answered, which may be long after the poll
 	// was sent. Counting from the sending would let the lease seem to expire early.
-	h.clock, h.clockAt, h.lastReport = m.report.ClockMs, now, m.sent
+	h.clock, h.clockAt, h.lastReport, h.obeyedAt = m.report.ClockMs, now, m.sent, m.begun
+	o.fence(h.id, h.startedMs)
 	h.acked = max(h.acked, m.acked)
 	h.idle = len(m.report.Running) == 0 && !listsAllEnds(&m.report)
 	h.recordLapse(&m.report, lapsed)
@@ -210,7 +212,7 @@
 	case errors.Is(err, runs.ErrFence):
 		o.depose("a worker has heard a higher token")
 	case errors.Is(err, runs.ErrIncarnation):
-		o.loseIncarnation(h, "another worker answers at the address")
+		o.evictIncarnation(h)
 	case errors.Is(err, context.Canceled):
 	case h.failingSince.IsZero():
 		h.failingSince = now
--- a/owner/record.go
+++ b/owner/record.go
@@ -30,11 +30,12 @@
 }
 
 // logBelief adds to a line what the owner knows of a worker's lease: whether the worker has
-// answered this owner, what the end of the lease is counted from, and how long ago that was.
+// answered this owner, what the end of the lease is counted from, and how long ago that was:
+// "earlier owners" are those that gave leases until then.
 func (o *Owner) logBelief(line *log.Entry, h *host, now time.Time) *log.Entry {
 	line = o.identify(line).Bool("answered", h.answered).Dur("sincePolls", now.Sub(o.pollsSince))
 	if !h.answered {
-		return line.Str("leaseFrom", "first polls")
+		return line.Str("leaseFrom", "earlier owners").Dur("sinceFormer", now.Sub(o.leasesFrom(now)))
 	}
 	return line.Str("leaseFrom", "last answer").Dur("sinceAnswer", now.Sub(h.clockAt)).
 		Dur("leaseLength", time.Duration(h.leaseUntil-h.clock)*time.Millisecond)
@@ -112,6 +113,6 @@
 		}
 		runs += len(h.runs)
 	}
-	o.identify(o.Log.Warn()).Bool("doubt", o.inDoubt).Int("hosts", len(o.hosts)).Int("answering", answering).Int("runs", runs).
+	o.identify(o.Log.Warn()).Bool("doubt", o.inDoubt).Dur("proof", o.roundAt-o.provenAt).Int("hosts", len(o.hosts)).Int("answering", answering).Int("runs", runs).
 		Msg("doubt about the election changed")
 }
--- a/owner/release.go
+++ b/owner/release.go
@@ -100,8 +100,11 @@
 }
 
 // mayStop reports whether a long-running subtask may be stopped without exceeding
-// the number of unavailable subtasks that its step allows.
+// the number of unavailable subtasks that its step allows. A later owner may have stopped others.
 func (o *Owner) mayStop(t *steps.Task, now time.Time) bool {
+	if !o.inCharge() {
+		return false
+	}
 	unavailable := 0
 	for _, other := range t.Siblings() {
 		if other != t && !o.isServing(other, now) {
--- a/owner/unproven.go
+++ b/owner/unproven.go
@@ -57,6 +57,7 @@
 func (o *Owner) enterRoster(h *host) {
 	delete(o.refusals, h.id)
 	delete(o.lapsed, h.id)
+	o.electorates.changed = true
 	if h.inherited {
 		return
 	}
@@ -68,7 +69,7 @@
 // only registered is given the quick tries of a poll: an order of an earlier owner may
 // reach it late, if it is another incarnation of a worker that was removed from the roster.
 func (o *Owner) awaitedAtTakeover(h *host, now time.Time) bool {
-	if h.answered || h.leaseExpired(now, o.pollsSince) {
+	if h.answered || o.leaseOver(h, now) {
 		return false
 	}
 	return o.mayHaveEarlierRuns(h) || h.failedPolls < quickTries
--- a/owner/writer.go
+++ b/owner/writer.go
@@ -48,6 +48,7 @@
 	items    []plat.Item // the keys in the store, after a conflict
 	err      error
 	took     time.Duration
+	begun    time.Duration // when it was sent, by SinceBoot
 }
 
 // markChanged queues a changed document for writing.
@@ -66,7 +67,7 @@
 		return
 	}
 	n := min(len(w.queue), maxDocs)
-	m := commitResult{docs: w.queue[:n:n]}
+	m := commitResult{docs: w.queue[:n:n], begun: o.roundAt}
 	w.queue = append([]*doc(nil), w.queue[n:]...)
 	t := plat.Txn{Expect: []plat.Condition{{Key: o.ElectionKey, Rev: o.Fence}}}
 	for _, d := range m.docs {
@@ -93,6 +94,7 @@
 	o.Stats.Commit.Update(m.took.Microseconds())
 	if m.err == nil {
 		o.writer.failures = 0
+		o.noteProof(m.begun)
 		for _, id := range m.removed {
 			delete(o.jobs, id)
 			delete(o.cancelRequests, id)
@@ -100,6 +102,9 @@
 		for i, d := range m.docs {
 			d.rev = m.rev
 			d.stored = max(d.stored, m.versions[i])
+			if d == o.voters {
+				o.storedVoters(m.versions[i])
+			}
 		}
 		o.ackStoredEnds()
 		o.passNeeded = o.passNeeded || o.restartsWait
@@ -143,7 +148,7 @@
 
 // docs returns all documents of the owner.
 func (o *Owner) docs() []*doc {
-	out := []*doc{o.roster, o.digest}
+	out := []*doc{o.roster, o.voters, o.digest}
 	for _, j := range o.jobs {
 		out = append(out, &j.doc)
 	}
