--- a/owner/charge.go
+++ b/owner/charge.go
@@ -20,15 +20,23 @@
 	if o.roundAt-o.provenAt > maxEvidenceAge/2 {
 		o.evidence = max(o.evidence, min(o.obeyedAt(), o.provenAt+maxUnproven))
 	}
-	inCharge := o.inCharge()
-	if inCharge == o.outOfCharge {
-		o.outOfCharge = !inCharge
-		o.passNeeded = o.passNeeded || inCharge
-		o.identify(o.Log.Warn()).Bool("orders", inCharge).Dur("evidence", o.roundAt-o.evidence).Dur("proof", o.roundAt-o.provenAt).
-			Int("hosts", len(o.hosts)).Msg("evidence that no later owner acts has come or gone")
+	if outOfCharge := !o.inCharge(); outOfCharge != o.outOfCharge {
+		o.outOfCharge = outOfCharge
+		o.noteCharge()
 	}
 }
 
+// noteCharge logs that the owner stops giving starts and leases, or gives them again.
+func (o *Owner) noteCharge() {
+	what := "owner has evidence again that it is in charge"
+	if o.outOfCharge {
+		what = "owner has no evidence that it is in charge; giving neither starts nor leases"
+		o.Stats.EvidenceLost.Inc(1)
+	}
+	o.passNeeded = true
+	o.identify(o.Log.Warn()).Dur("evidence", o.roundAt-o.evidence).Dur("proof", o.roundAt-o.provenAt).Int("hosts", len(o.hosts)).Msg(what)
+}
+
 // noteProof records that the store has proved by a call sent at a time, by SinceBoot, that this
 // owner's election was in force.
 func (o *Owner) noteProof(sent time.Duration) {
--- a/owner/stats.go
+++ b/owner/stats.go
@@ -5,6 +5,7 @@
 // Stats are the metrics of all owners in a process.
 type Stats struct {
 	Starts, Refused, Unanswered metrics.Counter // orders to start
+	EvidenceLost                metrics.Counter // owners that ran out of evidence
 	Stops, Polls, PollsFailed   metrics.Counter
 	Paces                       metrics.Counter // orders to pace
 	Ends, EndsFailed            metrics.Counter
@@ -47,7 +48,7 @@
 		Starts: counter("starts"), Refused: counter("refused"), Unanswered: counter("unanswered"),
 		Paces: counter("paces"), Stops: counter("stops"), Polls: counter("looks"), PollsFailed: counter("looks.failed"),
 		Ends: counter("ends"), EndsFailed: counter("ends.failed"), Withheld: counter("ends.withheld"), RunsLost: counter("runs.lost"),
-		GivenUp: counter("workers.givenup"), GivenUpUnanswered: counter("workers.givenup.unanswered"), LeasesInDoubt: counter("leases.doubt"), CrashesGivenUp: counter("crashes.givenup"), Jobs: counter("jobs"), Cancels: counter("cancels"),
+		GivenUp: counter("workers.givenup"), GivenUpUnanswered: counter("workers.givenup.unanswered"), LeasesInDoubt: counter("leases.doubt"), EvidenceLost: counter("evidence.lost"), CrashesGivenUp: counter("crashes.givenup"), Jobs: counter("jobs"), Cancels: counter("cancels"),
 		Commits: counter("commits"), CommitsFailed: counter("commits.failed"), WatchesFailed: counter("watches.failed"),
 		Questions: counter("questions"), QuestionsFailed: counter("questions.failed"), QuestionsLate: counter("questions.late"),
 		Tickets: counter("tickets"), TicketsLate: counter("tickets.late"), TicketsUsed: counter("tickets.used"),
