elect: count a renewal as proof only if the leaders' keys are in place

The store can take away a leader's key while it still renews the lease, also while an entry is cut from it. The first renewal that was answered afterwards counted as proof of the leadership, while another entry led and the watch, which hung, told nothing of it.

After a renewal without an answer, with a late one or a refusal, and after a watch has failed or is overdue, a renewal counts only once a linearizable read that was sent after it shows the key of each pool that the entry leads; a pool whose key is gone is lost at once. The doubt lasts until the watch is answered again. No call is added while calls are answered.

ProvenAt tells when the call was sent that last proved the lease and the keys; Proven is derived from it. It is reset when the lease ends.

Two more ways to lead by a key that is gone: the watch told of its end before the claim's answer came, or told of a late claim only. A claim's late answer and a late claim are now confirmed by a read.

--- a/elect/claim.go
+++ b/elect/claim.go
@@ -68,11 +68,11 @@
 	if _, held := e.held[pool]; held || e.writePending[pool] || l.entry != e.Name || l.lease != e.lease {
 		return
 	}
+	e.writePending[pool] = true
 	if l.rev > e.refusedFence[pool] {
-		e.win(Term{pool, l.rev, e.terms[pool].number})
+		go e.adopt(ctx, pool, l, e.terms[pool].number)
 		return
 	}
-	e.writePending[pool] = true
 	txn := plat.Txn{Expect: []plat.Condition{{Key: Key(pool), Rev: l.rev}}, Remove: []string{Key(pool)}}
 	go func() {
 		_, _, err := e.Store.Commit(ctx, txn)
@@ -81,6 +81,19 @@
 	}()
 }
 
+// adopt takes the leadership of a late claim if its key is still there: the watch may tell
+// late that it was removed.
+func (e *Elector) adopt(ctx context.Context, pool string, l leader, term int) {
+	rev, err := e.readBack(ctx, pool, l.lease)
+	if err == nil && rev != l.rev {
+		err = plat.ErrConflict
+	}
+	if err != nil {
+		e.pause(ctx)
+	}
+	e.send(ctx, claimEnded{pool, l.lease, term, l.rev, err})
+}
+
 // win records the leadership of a pool and reports it.
 func (e *Elector) win(t Term) {
 	e.held[t.Pool] = t
@@ -136,8 +149,10 @@
 		Puts:   []plat.Put{{Key: Key(pool), Value: value, Lease: lease}, {Key: termPrefix + pool, Value: number}},
 	}
 	go func() {
+		sent := e.SinceBoot()
 		rev, _, err := e.Store.Commit(ctx, txn)
-		if errors.Is(err, plat.ErrUnknown) {
+		slow := e.SinceBoot()-sent > slowAnswer
+		if errors.Is(err, plat.ErrUnknown) || err == nil && slow {
 			rev, err = e.readBack(ctx, pool, lease)
 		}
 		if err != nil {
@@ -147,7 +162,7 @@
 	}()
 }
 
-// readBack finds out whether a claim without an answer was carried out. It returns
+// readBack finds out whether a claim without an answer, or with a late one, is in force. It returns
 // the revision of the leader's key, or plat.ErrConflict if another holds it.
 func (e *Elector) readBack(ctx context.Context, pool string, lease int64) (int64, error) {
 	it, err := e.Store.Get(ctx, Key(pool))
@@ -168,11 +183,17 @@
 	delete(e.writePending, m.pool)
 	if m.err != nil {
 		e.Log.Info().Str("pool", m.pool).Err(m.err).Msg("claiming leadership failed")
+		if m.rev != 0 && (errors.Is(m.err, plat.ErrNotFound) || errors.Is(m.err, plat.ErrConflict)) {
+			e.applyLeader(m.pool, plat.Item{Key: Key(m.pool), Rev: m.rev, Deleted: true})
+		}
 		return
 	}
 	if e.resigned || m.lease != e.lease {
 		return // the key has ended with the lease; a new one proves nothing of it
 	}
+	if m.rev <= e.removedAt[m.pool] {
+		return // the watch has told of the key's end before the answer came
+	}
 	if l, ok := e.leaders[m.pool]; ok && l.rev > m.rev {
 		return
 	}
--- a/elect/elect.go
+++ b/elect/elect.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -77,14 +78,21 @@
 	registeredAt time.Time
 	keyWrittenAt time.Time // when the entry's key was last written
 	renewedAt    time.Time
-	// provenUntil is until when the lease certainly lasts, by SinceBoot; read by Proven.
-	provenUntil atomic.Int64
-	granting    bool // a request for a lease, or a registration, is under way
-	renewing    bool // a renewal of the lease is under way
+	// provenAt is the time that ProvenAt returns.
+	provenAt atomic.Int64
+	// watchAnsweredAt is when a call of watchStore was last answered, by SinceBoot.
+	watchAnsweredAt atomic.Int64
+	// troubles counts the events after which the store may have taken away leaders' keys
+	// unnoticed; checked is its value when the keys were last found in place.
+	troubles, checked int
+	troubleAt         time.Duration // of the last trouble, by SinceBoot
+	granting          bool          // a request for a lease, or a registration, is under way
+	renewing          bool          // a renewal of the lease is under way
 
 	pools        []string
 	coresByEntry map[string]float64     // of the registered entries
 	leaders      map[string]leader      // by pool, as the store has them
+	removedAt    map[string]int64       // the last revision at which a pool was known to have no leader
 	terms        map[string]termCounter // by pool
 	vacantSince  map[string]time.Time   // when a pool was first known to have no leader
 	writePending map[string]bool        // pools whose leader key this entry is claiming or removing
@@ -138,11 +146,14 @@
 
 // New returns an elector; Run starts it.
 func New(p Params) *Elector {
-	return &Elector{
+	e := &Elector{
 		Params: p, messages: make(chan any, 64), coresByEntry: map[string]float64{}, leaders: map[string]leader{},
 		terms: map[string]termCounter{}, vacantSince: map[string]time.Time{}, writePending: map[string]bool{}, held: map[string]Term{},
-		refusedFence: map[string]int64{}, former: map[string]bool{},
+		refusedFence: map[string]int64{}, former: map[string]bool{}, removedAt: map[string]int64{},
 	}
+	e.provenAt.Store(int64(never))
+	e.watchAnsweredAt.Store(int64(p.SinceBoot()))
+	return e
 }
 
 // Messages to the goroutine in Run.
@@ -152,8 +163,10 @@
 	ownerRefused    struct{ pool string }
 	storeChanged    struct {
 		items    []plat.Item
-		complete bool // the items are a full listing
+		rev      int64 // every change up to it is known with the items
+		complete bool  // the items are a full listing
 	}
+	watchFailed  struct{}
 	leaseGranted struct {
 		lease int64
 		sent  time.Duration // by SinceBoot
@@ -167,7 +180,13 @@
 		lease int64
 		at    time.Time
 		sent  time.Duration // by SinceBoot
+		slow  bool          // the answer was overdue
 		err   error
+		// troubles is the elector's count at the time sent.
+		troubles int
+		// leaders has the leaders' keys, read after the renewal; nil if they were not read.
+		leaders *listing
+		readErr error // of reading them
 	}
 	keyRemoved struct {
 		pool string
@@ -235,6 +254,8 @@
 		if errors.Is(m.err, plat.ErrNotFound) {
 			e.endLease(m.lease)
 		}
+	case watchFailed:
+		e.noteTrouble()
 	case leaseRenewed:
 		e.onLeaseRenewed(m)
 	case claimEnded:
@@ -276,6 +297,9 @@
 		} else {
 			items, next, err = e.Store.Watch(ctx, prefix, rev, watchTimeout)
 		}
+		if err != nil {
+			e.send(ctx, watchFailed{})
+		}
 		switch {
 		case errors.Is(err, plat.ErrCompacted):
 			rev = 0
@@ -284,8 +308,9 @@
 		default:
 			rev = next
 			if complete || len(items) > 0 {
-				e.send(ctx, storeChanged{items, complete})
+				e.send(ctx, storeChanged{items, next, complete})
 			}
+			e.watchAnsweredAt.Store(int64(e.SinceBoot()))
 		}
 	}
 }
@@ -304,7 +329,7 @@
 func (e *Elector) applyChanges(m storeChanged) {
 	if m.complete {
 		clear(e.coresByEntry)
-		clear(e.leaders)
+		maps.DeleteFunc(e.leaders, func(_ string, l leader) bool { return l.rev <= m.rev })
 		e.synced = true
 	}
 	for _, it := range m.items {
@@ -347,6 +372,7 @@
 		if l.rev > it.Rev {
 			return // the key has been written again since
 		}
+		e.removedAt[pool] = max(e.removedAt[pool], it.Rev)
 		if l.entry == e.Name && !e.writePending[pool] {
 			e.former[pool] = true
 		}
@@ -356,12 +382,21 @@
 		}
 		return
 	}
+	if it.Rev <= e.removedAt[pool] || it.Rev < e.leaders[pool].rev {
+		return // a later state is known
+	}
+	v := e.decodeLeader(it)
+	e.leaders[pool] = leader{v.Entry, v.Lease, it.Rev}
+	delete(e.former, pool)
+}
+
+// decodeLeader returns the value of a leader's key: the zero value if it can't be read.
+func (e *Elector) decodeLeader(it plat.Item) leaderValue {
 	var v leaderValue
 	if err := json.Unmarshal(it.Value, &v); err != nil {
 		e.Log.Error().Str("key", it.Key).Err(err).Msg("leader key cannot be decoded")
 	}
-	e.leaders[pool] = leader{v.Entry, v.Lease, it.Rev}
-	delete(e.former, pool)
+	return v
 }
 
 func (e *Elector) lose(pool, cause string) {
@@ -378,6 +413,7 @@
 	if e.resigned {
 		return
 	}
+	e.noteSilentWatch()
 	e.maintainLease(ctx, now)
 	switch {
 	case !e.synced || e.lease == 0:
@@ -396,6 +432,7 @@
 	}
 	lease := e.lease
 	e.lease = 0
+	e.disprove()
 	go func() {
 		defer close(done)
 		if lease == 0 {
--- a/elect/elect_test.go
+++ b/elect/elect_test.go
@@ -44,6 +44,8 @@
 	repeats   bool // overdue writes are repeated
 	// commit is the electors' call to write to the store.
 	commit func(ctx context.Context, t plat.Txn) (int64, []plat.Item, error)
+	// wrap returns the store as an entry sees it; nil for all as it is.
+	wrap func(name string, s elect.Store) elect.Store
 }
 
 func newElection() *election {
@@ -91,6 +93,9 @@
 		})
 		store.Commit, store.Grant, store.Renew = w.Commit, w.Grant, w.Renew
 	}
+	if el.wrap != nil {
+		store = el.wrap(name, store)
+	}
 	e := elect.New(elect.Params{
 		Name: name, Cores: cores, Clock: quartz.NewReal(), SinceBoot: sinceBoot, TTL: ttl, Log: &log.Logger{Writer: log.IOWriter{Writer: io.Discard}},
 		Store: store,
--- a/elect/lease.go
+++ b/elect/lease.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"time"
 
 	"shallotpaddle/plat"
@@ -35,15 +34,9 @@
 		}()
 	case e.lease != 0 && !e.renewing && now.Sub(e.renewedAt) >= e.TTL/renewalsPerTTL:
 		e.renewing = true
-		id := e.lease
-		go func() {
-			sent := e.SinceBoot()
-			err := e.Store.Renew(ctx, id)
-			if err != nil && !errors.Is(err, plat.ErrNotFound) {
-				e.pause(ctx)
-			}
-			e.send(ctx, leaseRenewed{id, now, sent, err})
-		}()
+		m := leaseRenewed{lease: e.lease, at: now, troubles: e.troubles}
+		holds, doubtful := len(e.held) > 0, e.doubtful()
+		go e.renew(ctx, m, holds, doubtful)
 	}
 }
 
@@ -90,21 +83,6 @@
 	e.Log.Info().Int64("lease", m.lease).Dur("ttl", e.TTL).Msg("entry registered")
 }
 
-func (e *Elector) onLeaseRenewed(m leaseRenewed) {
-	e.renewing = false
-	if m.lease != e.lease {
-		return
-	}
-	if m.err == nil {
-		e.renewedAt = m.at
-		e.prove(m.sent)
-		return
-	}
-	if errors.Is(m.err, plat.ErrNotFound) {
-		e.endLease(m.lease)
-	}
-}
-
 // endLease gives up what this entry held under a lease that the store no longer has.
 func (e *Elector) endLease(lease int64) {
 	if lease == 0 || lease != e.lease {
@@ -112,6 +90,7 @@
 	}
 	e.Log.Warn().Int64("lease", lease).Msg("lease expired")
 	e.lease = 0
+	e.disprove()
 	for pool := range e.held {
 		e.lose(pool, "lease ended")
 	}
@@ -122,14 +101,3 @@
 		}
 	}
 }
-
-// leaseMargin is how much earlier than by this entry's clock the store may end a lease.
-const leaseMargin = 50 * time.Millisecond
-
-// prove records that the store has answered a call for the lease that was sent at a time.
-func (e *Elector) prove(sent time.Duration) { e.provenUntil.Store(int64(sent + e.TTL - leaseMargin)) }
-
-// Proven reports whether the entry's lease certainly lasts, so that no other entry can
-// have been elected in its place. While the store can't be reached, it does not report so,
-// although nobody can be elected then. It is safe for concurrent use.
-func (e *Elector) Proven() bool { return int64(e.SinceBoot()) < e.provenUntil.Load() }
