elect: tell a leader whether the earlier ones have ended

A successor can't tell whether an earlier owner that it doesn't hear of still acts, and has to wait for as long as that one may go on.

Each entry has a boot counter, seat/boot/NAME, that is raised with each registration under a new lease, in the same transaction, and when the entry stops: it has lost all that it led before then. Each claim writes seat/past/POOL in its transaction: the leaders that may still act, those whose counter is higher now left out, and the claimant last.

An entry whose counter another process has raised gives up what it leads.

A registration and a claim are one write each, as before; the counter is read once a process, and raised once more when the entry stops. A lease that is granted after the entry has resigned is not taken any more.

--- a/elect/claim.go
+++ b/elect/claim.go
@@ -70,7 +70,8 @@
 	}
 	e.writePending[pool] = true
 	if l.rev > e.refusedFence[pool] {
-		go e.adopt(ctx, pool, l, e.terms[pool].number)
+		term := e.terms[pool].number
+		go e.adopt(ctx, claimEnded{pool: pool, lease: l.lease, term: term, former: e.mayAct(pool, term), rev: l.rev})
 		return
 	}
 	txn := plat.Txn{Expect: []plat.Condition{{Key: Key(pool), Rev: l.rev}}, Remove: []string{Key(pool)}}
@@ -83,19 +84,22 @@
 
 // adopt takes the leadership of a late claim if its key is still there: the watch may tell
 // late that it was removed.
-func (e *Elector) adopt(ctx context.Context, pool string, l leader, term int) {
-	rev, err := e.readBack(ctx, pool, l.lease)
-	if err == nil && rev != l.rev {
+func (e *Elector) adopt(ctx context.Context, m claimEnded) {
+	rev, err := e.readBack(ctx, m.pool, m.lease)
+	if err == nil && rev != m.rev {
 		err = plat.ErrConflict
 	}
 	if err != nil {
 		e.pause(ctx)
 	}
-	e.send(ctx, claimEnded{pool, l.lease, term, l.rev, err})
+	m.err = err
+	e.send(ctx, m)
 }
 
 // win records the leadership of a pool and reports it.
 func (e *Elector) win(t Term) {
+	e.lose(t.Pool, "elected again")
+	t.boot = e.boot.number
 	e.held[t.Pool] = t
 	e.Log.Info().Str("pool", t.Pool).Int64("fence", t.Fence).Int("term", t.Number).Msg("leadership won")
 	e.Won(t)
@@ -144,9 +148,17 @@
 		e.Log.Error().Err(err).Msg("election term cannot be encoded")
 		return
 	}
+	former := e.mayAct(pool, t.number)
+	past, err := json.Marshal(pastValue{t.number + 1, append(slices.Clip(former), actor{e.Name, e.boot.number})})
+	if err != nil {
+		e.Log.Error().Err(err).Msg("former leaders cannot be encoded")
+		return
+	}
 	txn := plat.Txn{
 		Expect: []plat.Condition{{Key: Key(pool)}, {Key: termPrefix + pool, Rev: t.rev}},
-		Puts:   []plat.Put{{Key: Key(pool), Value: value, Lease: lease}, {Key: termPrefix + pool, Value: number}},
+		Puts: []plat.Put{
+			{Key: Key(pool), Value: value, Lease: lease}, {Key: termPrefix + pool, Value: number}, {Key: pastPrefix + pool, Value: past},
+		},
 	}
 	go func() {
 		sent := e.SinceBoot()
@@ -158,7 +170,7 @@
 		if err != nil {
 			e.pause(ctx)
 		}
-		e.send(ctx, claimEnded{pool, lease, t.number + 1, rev, err})
+		e.send(ctx, claimEnded{pool, lease, t.number + 1, former, rev, err})
 	}()
 }
 
@@ -199,5 +211,5 @@
 	}
 	e.leaders[m.pool] = leader{e.Name, e.lease, m.rev}
 	delete(e.former, m.pool)
-	e.win(Term{m.pool, m.rev, m.term})
+	e.win(Term{Pool: m.pool, Fence: m.rev, Number: m.term, former: m.former})
 }
--- a/elect/elect.go
+++ b/elect/elect.go
@@ -24,6 +24,8 @@
 	entryPrefix  = prefix + "node/"
 	leaderPrefix = prefix + "lead/"
 	termPrefix   = prefix + "term/"
+	bootPrefix   = prefix + "boot/"
+	pastPrefix   = prefix + "past/"
 )
 
 // Key returns the store key that the leader of a pool holds.
@@ -47,6 +49,10 @@
 	Fence int64
 	// Number counts the elections of the pool, from 1.
 	Number int
+	// former has the earlier leaders that may still have acted at the election; never one of
+	// this entry, whose earlier leaderships are lost before it can be elected again.
+	former []actor
+	boot   int64 // of this entry
 }
 
 // Params are the parameters of New.
@@ -94,9 +100,18 @@
 	leaders      map[string]leader      // by pool, as the store has them
 	removedAt    map[string]int64       // the last revision at which a pool was known to have no leader
 	terms        map[string]termCounter // by pool
-	vacantSince  map[string]time.Time   // when a pool was first known to have no leader
-	writePending map[string]bool        // pools whose leader key this entry is claiming or removing
-	held         map[string]Term        // pools that this entry leads
+	past         map[string]pastValue   // by pool
+	// boots has the boot counters that can be read, by entry; publishedBoots is a copy for
+	// other goroutines.
+	boots          map[string]bootCounter
+	publishedBoots atomic.Pointer[map[string]bootCounter]
+	// boot is this entry's counter as it last wrote it.
+	boot bootCounter
+	// registerAfter is when this entry may register again; zero for at once.
+	registerAfter time.Time
+	vacantSince   map[string]time.Time // when a pool was first known to have no leader
+	writePending  map[string]bool      // pools whose leader key this entry is claiming or removing
+	held          map[string]Term      // pools that this entry leads
 	// former has the pools whose leader's key ended with this entry's lease, and that no
 	// other entry has claimed since.
 	former map[string]bool
@@ -150,7 +165,9 @@
 		Params: p, messages: make(chan any, 64), coresByEntry: map[string]float64{}, leaders: map[string]leader{},
 		terms: map[string]termCounter{}, vacantSince: map[string]time.Time{}, writePending: map[string]bool{}, held: map[string]Term{},
 		refusedFence: map[string]int64{}, former: map[string]bool{}, removedAt: map[string]int64{},
+		past: map[string]pastValue{}, boots: map[string]bootCounter{},
 	}
+	e.publishBoots()
 	e.provenAt.Store(int64(never))
 	e.watchAnsweredAt.Store(int64(p.SinceBoot()))
 	return e
@@ -170,6 +187,7 @@
 	leaseGranted struct {
 		lease int64
 		sent  time.Duration // by SinceBoot
+		boot  bootCounter
 		err   error
 	}
 	registered struct {
@@ -193,11 +211,12 @@
 		err  error
 	}
 	claimEnded struct {
-		pool  string
-		lease int64 // of the claim
-		term  int
-		rev   int64
-		err   error
+		pool   string
+		lease  int64 // of the claim
+		term   int
+		former []actor
+		rev    int64
+		err    error
 	}
 )
 
@@ -251,8 +270,8 @@
 	case registered:
 		e.granting, e.keyWrittenAt = false, e.Clock.Now()
 		e.Log.Info().Err(m.err).Msg("entry registered again")
-		if errors.Is(m.err, plat.ErrNotFound) {
-			e.endLease(m.lease)
+		if errors.Is(m.err, plat.ErrNotFound) || errors.Is(m.err, plat.ErrConflict) {
+			e.endLease(m.lease) // or the registration under it is no longer the last
 		}
 	case watchFailed:
 		e.noteTrouble()
@@ -329,6 +348,8 @@
 func (e *Elector) applyChanges(m storeChanged) {
 	if m.complete {
 		clear(e.coresByEntry)
+		clear(e.past)
+		clear(e.boots)
 		maps.DeleteFunc(e.leaders, func(_ string, l leader) bool { return l.rev <= m.rev })
 		e.synced = true
 	}
@@ -345,8 +366,16 @@
 			e.applyLeader(strings.TrimPrefix(it.Key, leaderPrefix), it)
 		case strings.HasPrefix(it.Key, termPrefix) && !it.Deleted:
 			e.terms[strings.TrimPrefix(it.Key, termPrefix)] = termCounter{e.termNumber(it), it.Rev}
+		case strings.HasPrefix(it.Key, pastPrefix):
+			e.applyPast(strings.TrimPrefix(it.Key, pastPrefix), it)
+		case strings.HasPrefix(it.Key, bootPrefix):
+			e.applyBoot(strings.TrimPrefix(it.Key, bootPrefix), it)
 		}
 	}
+	e.publishBoots()
+	if e.boots[e.Name].rev > e.boot.rev {
+		e.superseded(e.lease)
+	}
 	for pool, t := range e.held {
 		if l, ok := e.leaders[pool]; !ok && m.complete || ok && l.rev > t.Fence {
 			e.lose(pool, "the store has no such leader")
@@ -424,17 +453,18 @@
 	}
 }
 
-// resignAll gives up all pools and revokes the entry's lease, which removes its
-// leader keys.
+// resignAll gives up all pools, says so by the entry's boot counter, and revokes the
+// entry's lease, which removes its leader keys.
 func (e *Elector) resignAll(ctx context.Context, done chan struct{}) {
 	for pool := range e.held {
 		e.lose(pool, "entry stops")
 	}
-	lease := e.lease
+	lease, boot := e.lease, e.boot
 	e.lease = 0
 	e.disprove()
 	go func() {
 		defer close(done)
+		e.raiseBoot(ctx, boot)
 		if lease == 0 {
 			return
 		}
--- a/elect/elect_test.go
+++ b/elect/elect_test.go
@@ -44,6 +44,8 @@
 	repeats   bool // overdue writes are repeated
 	// commit is the electors' call to write to the store.
 	commit func(ctx context.Context, t plat.Txn) (int64, []plat.Item, error)
+	// fault injects faults into the store's calls; see setFault.
+	fault func(op, key string) fakes.CallFault
 	// wrap returns the store as an entry sees it; nil for all as it is.
 	wrap func(name string, s elect.Store) elect.Store
 }
@@ -51,9 +53,24 @@
 func newElection() *election {
 	el := &election{kv: fakes.NewKV(), termsHeld: map[string]map[string]elect.Term{}, lastFence: map[string]int64{}}
 	el.commit = el.kv.Commit
+	el.kv.InjectFault = func(op, key string) fakes.CallFault {
+		el.mu.Lock()
+		defer el.mu.Unlock()
+		if el.fault == nil {
+			return fakes.NoFault
+		}
+		return el.fault(op, key)
+	}
 	return el
 }
 
+// setFault sets what injects faults from now on. It is called under the election's lock.
+func (el *election) setFault(f func(op, key string) fakes.CallFault) {
+	el.mu.Lock()
+	defer el.mu.Unlock()
+	el.fault = f
+}
+
 func (el *election) won(name string, t elect.Term) {
 	el.mu.Lock()
 	defer el.mu.Unlock()
--- a/elect/lease.go
+++ b/elect/lease.go
@@ -11,26 +11,27 @@
 // maintainLease requests a lease if there is none, and renews it in time.
 func (e *Elector) maintainLease(ctx context.Context, now time.Time) {
 	switch {
-	case e.lease == 0 && !e.granting:
+	case e.lease == 0 && !e.granting && !now.Before(e.registerAfter):
 		e.granting = true
+		boot := e.boot
 		go func() {
 			sent := e.SinceBoot()
 			id, err := e.Store.Grant(ctx, e.TTL)
 			if err == nil {
-				err = e.register(ctx, id)
+				boot, err = e.register(ctx, id, boot)
 			}
 			if err != nil {
 				e.pause(ctx)
 			}
-			e.send(ctx, leaseGranted{id, sent, err})
+			e.send(ctx, leaseGranted{id, sent, boot, err})
 		}()
 	case e.lease != 0 && !e.granting && e.unregistered(now):
-		// A copy of an earlier registration was carried out late, under a lease that
-		// has ended since.
+		// A registration of an older version of the program was carried out late, under a
+		// lease that has ended since.
 		e.granting = true
-		id := e.lease
+		id, boot := e.lease, e.boot
 		go func() {
-			e.send(ctx, registered{id, e.register(ctx, id)})
+			e.send(ctx, registered{id, e.writeEntry(ctx, id, boot)})
 		}()
 	case e.lease != 0 && !e.renewing && now.Sub(e.renewedAt) >= e.TTL/renewalsPerTTL:
 		e.renewing = true
@@ -52,16 +53,6 @@
 	Cores float64 `json:"cores"`
 }
 
-// register writes the entry's key, which lasts as long as its lease.
-func (e *Elector) register(ctx context.Context, lease int64) error {
-	value, err := json.Marshal(entryValue{e.Cores})
-	if err != nil {
-		return err
-	}
-	_, _, err = e.Store.Commit(ctx, plat.Txn{Puts: []plat.Put{{Key: entryPrefix + e.Name, Value: value, Lease: lease}}})
-	return err
-}
-
 // entryCores returns the cores in an entry's key: 0 if it has none, so that the
 // entry ranks last.
 func (e *Elector) entryCores(it plat.Item) float64 {
@@ -74,10 +65,14 @@
 
 func (e *Elector) onLeaseGranted(_ context.Context, m leaseGranted) {
 	e.granting = false
+	e.boot = m.boot
 	if m.err != nil {
 		e.Log.Warn().Err(m.err).Msg("requesting a lease failed")
 		return
 	}
+	if e.resigned {
+		return // the lease ends by itself
+	}
 	e.lease, e.registeredAt, e.keyWrittenAt, e.renewedAt = m.lease, e.Clock.Now(), e.Clock.Now(), e.Clock.Now()
 	e.prove(m.sent)
 	e.Log.Info().Int64("lease", m.lease).Dur("ttl", e.TTL).Msg("entry registered")
--- a/elect/proof_test.go
+++ b/elect/proof_test.go
@@ -193,11 +193,10 @@
 // claim's answer comes: the entry must not lead by that key.
 func TestClaimWhoseKeyIsGoneIsNoElection(t *testing.T) {
 	run(t, func(ctx context.Context, t *testing.T, el *election, _ []string) {
-		removed := false
+		var removed atomic.Bool
 		el.commit = func(ctx context.Context, txn plat.Txn) (int64, []plat.Item, error) {
 			rev, items, err := el.kv.Commit(ctx, txn)
-			if txn.Puts[0].Key == elect.Key("p") && !removed {
-				removed = true
+			if txn.Puts[0].Key == elect.Key("p") && removed.CompareAndSwap(false, true) {
 				el.kv.Delete(elect.Key("p"))
 				time.Sleep(800 * time.Millisecond)
 			}
@@ -205,7 +204,7 @@
 		}
 		el.startEntry(ctx, "a", []string{"p"})
 		time.Sleep(4 * time.Second)
-		require.True(t, removed)
+		require.True(t, removed.Load())
 		el.leadsByKey(t, "p", "a")
 		require.Equal(t, 1, el.wonCount)
 	})
@@ -214,11 +213,10 @@
 // TWICE: the same, and the watch tells nothing.
 func TestLateAnswerToClaimWhoseKeyIsGone(t *testing.T) {
 	run(t, func(ctx context.Context, t *testing.T, el *election, _ []string) {
-		removed := false
+		var removed atomic.Bool
 		el.commit = func(ctx context.Context, txn plat.Txn) (int64, []plat.Item, error) {
 			rev, items, err := el.kv.Commit(ctx, txn)
-			if txn.Puts[0].Key == elect.Key("p") && !removed {
-				removed = true
+			if txn.Puts[0].Key == elect.Key("p") && removed.CompareAndSwap(false, true) {
 				el.kv.Delete(elect.Key("p"))
 				time.Sleep(800 * time.Millisecond)
 			}
@@ -228,7 +226,7 @@
 			watch := store.Watch
 			store.Watch = func(ctx context.Context, prefix string, after int64, wait time.Duration) ([]plat.Item, int64, error) {
 				items, rev, err := watch(ctx, prefix, after, wait)
-				if removed {
+				if removed.Load() {
 					time.Sleep(2 * time.Second)
 				}
 				return items, rev, err
@@ -249,13 +247,13 @@
 // which is late, has told of the claim only.
 func TestLateClaimWhoseKeyIsGoneIsNotAdopted(t *testing.T) {
 	run(t, func(ctx context.Context, t *testing.T, el *election, _ []string) {
-		claims, reads := 0, 0
+		var claims, reads atomic.Int32
 		el.commit = func(ctx context.Context, txn plat.Txn) (int64, []plat.Item, error) {
 			rev, items, err := el.kv.Commit(ctx, txn)
 			if txn.Puts[0].Key != elect.Key("p") {
 				return rev, items, err
 			}
-			if claims++; claims > 1 {
+			if claims.Add(1) > 1 {
 				return rev, items, err
 			}
 			time.AfterFunc(1800*time.Millisecond, func() { el.kv.Delete(elect.Key("p")) })
@@ -265,14 +263,14 @@
 		el.wrap = func(_ string, store elect.Store) elect.Store {
 			healthy := store
 			store.Get = func(ctx context.Context, key string) (plat.Item, error) {
-				if reads++; key == elect.Key("p") && claims == 1 && reads < 3 {
+				if reads.Add(1) < 3 && key == elect.Key("p") && claims.Load() == 1 {
 					return plat.Item{}, plat.ErrUnavailable
 				}
 				return healthy.Get(ctx, key)
 			}
 			store.Watch = func(ctx context.Context, prefix string, after int64, wait time.Duration) ([]plat.Item, int64, error) {
 				items, rev, err := healthy.Watch(ctx, prefix, after, wait)
-				if len(items) > 0 && claims > 0 {
+				if len(items) > 0 && claims.Load() > 0 {
 					time.Sleep(2 * time.Second)
 				}
 				return items, rev, err
@@ -285,7 +283,7 @@
 				el.leadsByKey(t, "p", "a")
 			}
 		}
-		require.Greater(t, claims, 0)
+		require.Positive(t, claims.Load())
 		el.leadsByKey(t, "p", "a")
 	})
 }
