owner: give the turn at the advisor back when out of charge

Other pools of an entry got no tickets while an owner without evidence kept the entry's turn: the scheduling pass, which alone returns it, was left out.

--- a/owner/act.go
+++ b/owner/act.go
@@ -43,7 +43,7 @@
 // their jobs, and asks the advisor about steps that need a ticket.
 func (o *Owner) scheduleStarts(now time.Time) {
 	cands, candHosts := o.candidates(now)
-	if len(cands) == 0 {
+	if len(cands) == 0 || !o.inCharge() {
 		o.requestAdvice(nil, nil, nil, now)
 		return
 	}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -350,7 +350,7 @@
 	if len(o.openJobs) > 0 && now.Sub(o.lastPass) >= maxPassGap {
 		o.passNeeded = true
 	}
-	if o.passNeeded && o.inCharge() {
+	if o.passNeeded {
 		if wait := o.passGap() - now.Sub(o.lastPass); wait > 0 {
 			next = wait
 		} else {
@@ -361,7 +361,6 @@
 			o.passTime = o.Clock.Since(begun)
 		}
 	}
-	o.checkElection()
 	o.forgetUnanswered(now)
 	o.updateVoters()
 	o.retryOrders(now)
