owner: ask the workers for evidence once the store's proof is a second old

The doubt in which idle workers are polled began when the lease in the store might have ended. It begins by the age of the proof now, as the evidence does.

Owners go on without the store for 20 s instead of 30: so long a successor waits that reaches less than half of the workers and whose predecessor never comes back.

--- a/owner/charge.go
+++ b/owner/charge.go
@@ -6,10 +6,12 @@
 	// maxEvidenceAge is the age of its evidence up to which an owner gives starts and leases: an
 	// election that is not renewed ends within it, and there is time for a round of polls.
 	maxEvidenceAge = 2 * time.Second
+	// maxProofAge is the age of the store's proof from which on the workers are asked as well.
+	maxProofAge = maxEvidenceAge / 2
 	// maxUnproven is for how long owners go on by the word of the workers alone while the store
 	// can't be reached. A later owner that reaches no majority of the workers, and does not know
 	// that the earlier ones have ended, waits as long.
-	maxUnproven = 30 * time.Second
+	maxUnproven = 20 * time.Second
 )
 
 // updateEvidence updates the time of the evidence that this owner is in charge of its pool: no
@@ -17,7 +19,11 @@
 func (o *Owner) updateEvidence() {
 	o.roundAt = o.SinceBoot()
 	o.noteProof(o.ProvenAt())
-	if o.roundAt-o.provenAt > maxEvidenceAge/2 {
+	if inDoubt := o.roundAt-o.provenAt > maxProofAge; inDoubt != o.inDoubt {
+		o.inDoubt = inDoubt
+		o.logDoubt()
+	}
+	if o.inDoubt {
 		o.evidence = max(o.evidence, min(o.obeyedAt(), o.provenAt+maxUnproven))
 	}
 	if outOfCharge := !o.inCharge(); outOfCharge != o.outOfCharge {
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -49,15 +49,6 @@
 	return !h.answered || h.awaitsStarts || h.proofDue || len(h.runs) > 0 || h.ackable > h.acked || len(h.unacked) > 0 || !h.failingSince.IsZero() || now.Sub(h.clockAt) > maxClockAge
 }
 
-// checkElection notes whether the election is certainly in force. While it is in doubt, all
-// workers are polled: one that has seen a later owner's token tells.
-func (o *Owner) checkElection() {
-	if inDoubt := !o.Proven(); inDoubt != o.inDoubt {
-		o.inDoubt = inDoubt
-		o.logDoubt()
-	}
-}
-
 // pollHosts polls the workers that are due.
 func (o *Owner) pollHosts(now time.Time) {
 	o.markLosses(now)
--- a/owner/record_test.go
+++ b/owner/record_test.go
@@ -169,11 +169,14 @@
 	r := newRig(t)
 	r.logTo(&logged)
 	r.countLease()
-	r.Proven = func() bool { return false }
-	r.checkElection()
-	r.checkElection()
+	provenAt := r.SinceBoot()
+	r.ProvenAt = func() time.Duration { return provenAt }
+	for range 2 {
+		r.clock.Advance(1050 * time.Millisecond)
+		r.updateEvidence()
+	}
 	line := lineOf(t, logged.String(), "doubt about the election changed")
-	require.Contains(t, line, `"level":"warn","pool":"a","fence":77,"term":3,"doubt":true,"proof":0,"hosts":3,"answering":3,"runs":3`)
+	require.Contains(t, line, `"level":"warn","pool":"a","fence":77,"term":3,"doubt":true,"proof":1050,"hosts":3,"answering":3,"runs":3`)
 	r.countLease()
 	require.EqualValues(t, 1, r.Stats.LeasesInDoubt.Count())
 }
