owner: split pools at random in the model

TestModelSplitPool adds to the usual failures: splits of 4 to 20 s, drawn again and again. The workers fall in halves or in uneven parts, with one that all entries reach or some that nobody does; the owner is alone or with other entries; it is cut from the store, or its side is, or none. Entries and workers that come later have a side too. One subtask in ten lasts eight times as long.

The stand-in of the workers no longer counts a start as UNASKED if its sender can't hear of the cancellation: the rule holds for machines in touch. Only the splits of this test count, so the other tests check as before.

--- a/fakes/workerset.go
+++ b/fakes/workerset.go
@@ -40,6 +40,9 @@
 	// PoolOf has the pools by queue, of the queues whose jobs may run on workers of no other
 	// pool. It is set before the first call.
 	PoolOf map[string]string
+	// InTouchSince returns since when the sender with a fencing token can hear of cancellations,
+	// the present time if it can't; nil stands for ever.
+	InTouchSince func(fence int64) time.Time
 	// MaxLease is the longest lease that a worker accepts.
 	MaxLease time.Duration
 	// ChecksRoom makes workers refuse starts that don't fit. They take the lease from these
