owner: count every cut from the store as out of touch in the model of split pools

The rule holds for machines in touch, and the model did so for splits already.

The other tests check as before.

--- a/owner/model_test.go
+++ b/owner/model_test.go
@@ -40,14 +40,8 @@
 	},
 	"cut the owner from the store": func(_ context.Context, pool *testPool) {
 		if e := pool.leader(); e != nil {
-			pool.mu.Lock()
-			e.cut = true
-			pool.mu.Unlock()
-			time.AfterFunc(4*time.Second, func() {
-				pool.mu.Lock()
-				defer pool.mu.Unlock()
-				e.cut = false
-			})
+			pool.setCut(e, true)
+			time.AfterFunc(4*time.Second, func() { pool.setCut(e, false) })
 		}
 	},
 	"crash a worker": func(_ context.Context, pool *testPool) {
--- a/owner/pool_test.go
+++ b/owner/pool_test.go
@@ -96,7 +96,7 @@
 	deaf bool
 	// cutFrom has the workers that the entry can't reach.
 	cutFrom map[string]bool
-	// storeSince is when a split that kept the entry from the store ended.
+	// storeSince is when the entry could reach the store again.
 	storeSince time.Time
 	// turn is the entry's turn at the advisor, line its line for it.
 	turn *fakes.AdvisorTurn
--- a/owner/splitpool_test.go
+++ b/owner/splitpool_test.go
@@ -37,15 +37,16 @@
 func (pool *testPool) isCutFromStore(e *entry) bool {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
-	return e.cut || pool.keptFromStore(e)
+	return pool.lacksStore(e)
 }
 
-// keptFromStore reports whether the split or the store keeps an entry from the store; pool.mu is
-// held.
-func (pool *testPool) keptFromStore(e *entry) bool {
-	return pool.storeAway || pool.split != nil && pool.split.noStore(e.name)
+// lacksStore does the same while pool.mu is held.
+func (pool *testPool) lacksStore(e *entry) bool {
+	return e.cut || pool.storeAway || pool.split != nil && pool.split.noStore(e.name)
 }
 
+func (pool *testPool) setCut(e *entry, cut bool) { pool.changeCuts(func() { e.cut = cut }) }
+
 func (pool *testPool) setSplit(s *split) { pool.changeCuts(func() { pool.split = s }) }
 
 func (pool *testPool) setStoreAway(away bool) { pool.changeCuts(func() { pool.storeAway = away }) }
@@ -54,13 +55,13 @@
 func (pool *testPool) changeCuts(change func()) {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
-	kept := map[*entry]bool{}
+	lacked := map[*entry]bool{}
 	for _, e := range pool.entries {
-		kept[e] = pool.keptFromStore(e)
+		lacked[e] = pool.lacksStore(e)
 	}
 	change()
-	for e, before := range kept {
-		if before && !pool.keptFromStore(e) {
+	for e, before := range lacked {
+		if before && !pool.lacksStore(e) {
 			e.storeSince = time.Now()
 		}
 	}
@@ -74,7 +75,7 @@
 	switch {
 	case e == nil:
 		return time.Time{}
-	case pool.keptFromStore(e):
+	case pool.lacksStore(e):
 		return time.Now()
 	default:
 		return e.storeSince
