--- a/owner/host.go
+++ b/owner/host.go
@@ -23,6 +23,8 @@
 	// answered is true once this incarnation has answered a poll, and so has seen the
 	// owner's fencing token.
 	answered bool
+	// givenUp tells that the worker has answered, and has not since its lease was over.
+	givenUp bool
 	// inherited tells that an earlier owner has stored the worker in the roster.
 	inherited bool
 	startedMs int64
@@ -116,8 +118,8 @@
 	doubtPollWait     = 500 * time.Millisecond
 	doubtPollInterval = 500 * time.Millisecond
 	// maxClockAge is the age from which an idle worker's clock is read again, as its
-	// lower bound falls behind.
-	maxClockAge = 20 * time.Second
+	// lower bound falls behind, and the voters must not hold many that are silent.
+	maxClockAge = 5 * time.Second
 	// pollWait is how long a worker may hold a poll until a run ends.
 	pollWait = 1000 * time.Millisecond
 	// startPollWait replaces pollWait on a worker with a long-running subtask that is
@@ -328,6 +330,8 @@
 				continue
 			}
 			if h.listed && len(h.runs) == 0 && h.answered {
+				o.electorates.changed = o.electorates.changed || !h.givenUp
+				h.givenUp = true
 				continue // keep polling
 			}
 			if h.listed && !h.answered {
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -155,6 +155,8 @@
 	if !h.failingSince.IsZero() {
 		o.Log.Info().Str("pool", o.Pool).Str("host", h.id).Dur("away", now.Sub(h.failingSince)).Msg("worker is answering again")
 		h.failingSince = time.Time{}
+		o.electorates.changed = o.electorates.changed || h.givenUp
+		h.givenUp = false
 		o.leaveUnblocked(h, now)
 		o.passNeeded = true
 	}
