owner: tell later owners of leases that are longer than owners give

The roster has the time left of such a lease now.

TestSuccessorWaitsForLeaseOfLateOrder failed before, by the review, and passes.

--- a/owner/host.go
+++ b/owner/host.go
@@ -45,6 +45,9 @@
 	// leaseUntil is the end of the longest lease given, in milliseconds of the
 	// worker's clock.
 	leaseUntil int64
+	// longerLease is the time left, by the worker's clock, of a lease that may outlast those that
+	// owners give, when the roster was last encoded or read; 0 if it does not.
+	longerLease time.Duration
 	// Numbers of ends: lastEnd is the highest one handled, acked the highest one
 	// acknowledged to the worker, and ackable the highest one that may be
 	// acknowledged.
@@ -156,7 +159,7 @@
 // A worker that has not answered this owner may have a lease of an earlier owner, which
 // ends by a lower bound of the worker's clock at most leaseHorizon after leasesFrom.
 func (h *host) leaseExpired(now, leasesFrom time.Time) bool {
-	from, lease := leasesFrom, leaseHorizon
+	from, lease := leasesFrom, max(leaseHorizon, h.longerLease)
 	if h.answered {
 		from, lease = h.clockAt, time.Duration(h.leaseUntil-h.clock)*time.Millisecond
 	}
--- a/owner/late.go
+++ b/owner/late.go
@@ -58,7 +58,7 @@
 	case h.formerLease:
 		return o.Bounds.MaxLease
 	default:
-		return leaseCap
+		return max(leaseCap, h.longerLease)
 	}
 }
 
--- a/owner/roster.go
+++ b/owner/roster.go
@@ -7,6 +7,7 @@
 	"errors"
 	"slices"
 	"strings"
+	"time"
 
 	"shallotpaddle/hosts"
 	"shallotpaddle/plat"
@@ -20,6 +21,9 @@
 	// Lost tells that the incarnation was removed during the takeover and that another one
 	// of the worker is listed as well.
 	Lost bool `json:"lost,omitempty"`
+	// LeaseMs is the time left of the worker's lease, in milliseconds of its clock, if it may
+	// outlast those that owners give: a late order to an earlier incarnation has extended it.
+	LeaseMs int64 `json:"lease,omitempty"`
 	// Lapsed tells that the worker was given up as its lease was over, and that nothing has
 	// run there since.
 	Lapsed bool `json:"lapsed,omitempty"`
@@ -34,7 +38,16 @@
 }
 
 func (h *host) rosterEntry() rosterEntry {
-	return rosterEntry{ID: h.id, Address: h.worker.Address, StartedMs: h.startedMs}
+	return rosterEntry{ID: h.id, Address: h.worker.Address, StartedMs: h.startedMs, LeaseMs: h.longerLease.Milliseconds()}
+}
+
+// updateLongerLease updates longerLease, which the stored roster has by the time the worker gets
+// work. Until it is stored again, later owners wait for the lease as it was then.
+func (h *host) updateLongerLease(now time.Time) {
+	left := time.Duration(h.leaseUntil-h.workerClock(now)) * time.Millisecond
+	if h.longerLease = 0; left > leaseHorizon {
+		h.longerLease = left
+	}
 }
 
 func (o *Owner) encodeRoster() []byte {
@@ -45,6 +58,9 @@
 	}
 	for _, h := range o.hosts {
 		if o.inRoster(h) {
+			if h.answered {
+				h.updateLongerLease(o.Clock.Now())
+			}
 			list = append(list, h.rosterEntry())
 		}
 	}
@@ -108,7 +124,7 @@
 				continue
 			}
 			h := newHost(hosts.Worker{ID: e.ID, Pool: o.Pool, Address: e.Address, StartedMs: e.StartedMs})
-			h.inherited = true
+			h.inherited, h.longerLease = true, time.Duration(e.LeaseMs)*time.Millisecond
 			o.hosts[e.ID] = h
 		}
 	}
