--- a/owner/charge.go
+++ b/owner/charge.go
@@ -9,9 +9,11 @@
 	// maxProofAge is the age of the store's proof from which on the workers are asked as well.
 	maxProofAge = maxEvidenceAge / 2
 	// maxUnproven is for how long owners go on by the word of the workers alone while the store
-	// can't be reached. A later owner that reaches no majority of the workers, and does not know
-	// that the earlier ones have ended, waits as long.
+	// can't be reached.
 	maxUnproven = 20 * time.Second
+	// formerWait is how long a later owner waits that reaches no majority of the workers, and does
+	// not know that the earlier ones have ended: as long, by a clock that may differ.
+	formerWait = maxUnproven + maxUnproven/50
 )
 
 // updateEvidence updates the time of the evidence that this owner is in charge of its pool: no
@@ -66,21 +68,24 @@
 	if !o.formerOver.IsZero() {
 		return
 	}
-	over, cause := now, ""
+	cause := ""
 	switch {
 	case o.Term <= 1:
-		over, cause = o.pollsSince, "there was none"
+		cause = "there was none"
 	case o.FormerEnded():
 		cause = "they have ended"
 	case o.formerFenced():
 		cause = "a majority of the workers refuses their tokens"
-	case now.Sub(o.pollsSince) >= maxUnproven:
-		over, cause = o.pollsSince.Add(maxUnproven), "they had no majority of the workers for long"
+	case now.Sub(o.pollsSince) >= formerWait:
+		cause = "they could not go on for longer"
 	default:
 		o.warnOfFormer(now)
 		return
 	}
-	o.formerOver, o.electorates.changed = over, true
+	o.formerOver, o.electorates.changed = o.Clock.Now(), true
+	if o.Term <= 1 {
+		o.formerOver = o.pollsSince
+	}
 	o.identify(o.Log.Info()).Str("cause", cause).Dur("after", now.Sub(o.pollsSince)).
 		Int("voters", len(o.electorates.former)).Int("refusing", len(o.electorates.fenced)).Int("unread", o.unansweredHosts()).
 		Msg("earlier owners give no leases any more")
--- a/owner/former.go
+++ b/owner/former.go
@@ -10,8 +10,8 @@
 
 const (
 	// formerPeriod is how long after the last evidence that an earlier owner can have had its
-	// orders may be carried out.
-	formerPeriod = maxOrderDelay + maxEvidenceAge
+	// orders may be carried out: the last one and its copies are sent within an answer's time.
+	formerPeriod = maxOrderDelay + maxEvidenceAge + maxAnswerTimeout
 	// formerPollInterval is how often idle workers are polled meanwhile. These polls don't
 	// wait, as a worker that is polled does not count as empty.
 	formerPollInterval = 250 * time.Millisecond
--- a/owner/voters_test.go
+++ b/owner/voters_test.go
@@ -116,7 +116,7 @@
 			require.False(t, silent.leaseExpired(at.Add(leaseHorizon), r.leasesFrom(at.Add(leaseHorizon))))
 			after := at.Add(leaseHorizon + time.Second)
 			require.Equal(t, c.over, silent.leaseExpired(after, r.leasesFrom(after)))
-			r.clock.Advance(maxUnproven)
+			r.clock.Advance(formerWait)
 			r.checkFormer(r.clock.Now())
 			require.False(t, r.formerOver.IsZero(), "nobody waits for ever")
 		})
@@ -174,3 +174,13 @@
 		})
 	}
 }
+
+func TestFormerEndIsTimedAfterItIsKnown(t *testing.T) {
+	r := restartedOwner(t)
+	r.FormerEnded = func() bool {
+		r.clock.Advance(time.Second)
+		return true
+	}
+	r.checkFormer(r.clock.Now())
+	require.False(t, r.formerOver.Before(r.clock.Now()))
+}
