soak: make both kinds of TWICE show when a pool is split between two owners

The planned split begins later, and the jobs that don't last take 3 or 6 s, with an estimate: without one the owner moved them as too slow.

At 7.5 to 7.7 s the earlier owner starts what it can't see any more, while its successor renews it; at 9.8 to 10 s the successor does the same; after the split, ends of the earlier owner's half are acknowledged whose subtasks have started again.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -142,19 +142,20 @@
 }
 
 // TestPoolSplitBetweenTwoOwners splits a pool in halves: its owner reaches one of them and not the
-// store, its successor reaches the other one. Some jobs last, and the others are longer than a lease.
+// store, its successor reaches the other one.
 func TestPoolSplitBetweenTwoOwners(t *testing.T) {
 	t.Parallel()
-	opt := short(1, 14*time.Second)
-	opt.Entries, opt.Workers, opt.Rate = 5, 12, 3
+	opt := short(1, 15*time.Second)
+	opt.Entries, opt.Workers, opt.Rate = 5, 12, 4
 	halves := pickSplit(func(p splitPlan) bool {
 		return p == splitPlan{cutOwner: true, path: site.Silent}
 	})
-	opt.plant = plant{events: []event{{Kind: "pool split", At: 2 * time.Second, For: 11 * time.Second, Pick: halves}}, load: func(l *load) {
-		lasts := l.ID[0] < '8'
-		l.Steps, l.Repetitions, l.failFirst, l.cancelAt = []steps.Step{{Count: 2, CPU: 400, Mem: 100, LongRunning: lasts}}, 0, 0, 0
-		l.length = 6 * time.Second
-	}}
+	opt.plant.events = []event{{Kind: "pool split", At: 4 * time.Second, For: 10 * time.Second, Pick: halves}}
+	opt.plant.load = func(l *load) { // a third lasts, the others take 3 or 6 s
+		n := l.ID[0] % 3
+		l.length, l.Repetitions, l.failFirst, l.cancelAt = time.Duration(3+3*(n/2))*time.Second, 0, 0, 0
+		l.Steps = []steps.Step{{Count: 2, CPU: 400, Mem: 100, EstimateMs: l.length.Milliseconds(), LongRunning: n == 0}}
+	}
 	r := runSoak(t, opt)
 	require.Empty(t, r.Violations)
 	require.Equal(t, 1, r.Faults["pool split"])
