--- a/elect/lease.go
+++ b/elect/lease.go
@@ -33,7 +33,7 @@
 		go func() {
 			e.send(ctx, registered{id, e.register(ctx, id)})
 		}()
-	case e.lease != 0 && !e.renewing && now.Sub(e.renewedAt) >= e.TTL/renewalsPerTTL:
+	case e.lease != 0 && !e.renewing && now.Sub(e.renewedAt) >= renewalInterval:
 		e.renewing = true
 		id := e.lease
 		go func() {
@@ -82,12 +82,12 @@
 func (e *Elector) onLeaseGranted(_ context.Context, m leaseGranted) {
 	e.granting = false
 	if m.err != nil {
-		e.Log.Warn().Err(m.err).Msg("requesting a lease failed")
+		e.noteFailure(m.err, "requesting a lease failed")
 		return
 	}
 	e.lease, e.registeredAt, e.keyWrittenAt, e.renewedAt = m.lease, e.Clock.Now(), e.Clock.Now(), e.Clock.Now()
 	e.prove(m.sent)
-	e.Log.Info().Int64("lease", m.lease).Dur("ttl", e.TTL).Msg("entry registered")
+	e.logRegistered(m)
 }
 
 func (e *Elector) onLeaseRenewed(m leaseRenewed) {
@@ -110,7 +110,7 @@
 	if lease == 0 || lease != e.lease {
 		return
 	}
-	e.Log.Warn().Int64("lease", lease).Msg("lease expired")
+	e.sinceRenewal(e.Log.Warn()).Int64("lease", lease).Int("pools", len(e.held)).Msg("lease expired")
 	e.lease = 0
 	for pool := range e.held {
 		e.lose(pool, "lease ended")
@@ -133,3 +133,9 @@
 // have been elected in its place. While the store can't be reached, it does not report so,
 // although nobody can be elected then. It is safe for concurrent use.
 func (e *Elector) Proven() bool { return int64(e.SinceBoot()) < e.provenUntil.Load() }
+
+// ProvenAt returns when, by SinceBoot, the last call was sent by which the store has proved
+// that the entry's lease lasts.
+func (e *Elector) ProvenAt() time.Duration {
+	return time.Duration(e.provenUntil.Load()) - e.TTL + leaseMargin
+}
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -33,6 +33,7 @@
 	address string // that was called
 	report  runs.Report
 	sent    time.Time
+	begun   time.Duration // sent, by SinceBoot
 	wait    time.Duration // that the worker was allowed
 	acked   int64         // the highest end acknowledged by the poll
 	leased  bool          // the poll extended the lease
@@ -53,7 +54,7 @@
 func (o *Owner) checkElection() {
 	if inDoubt := !o.Proven(); inDoubt != o.inDoubt {
 		o.inDoubt = inDoubt
-		o.Log.Info().Str("pool", o.Pool).Int64("fence", o.Fence).Bool("doubt", inDoubt).Msg("doubt about the election changed")
+		o.logDoubt()
 	}
 }
 
@@ -80,11 +81,12 @@
 		// owner has read.
 		n.AckedThrough = h.ackable
 	}
-	if h.answered && h.failingSince.IsZero() && h.needsLease() && !now.Before(o.ordersFrom) {
+	if h.answered && h.failingSince.IsZero() && h.needsLease() && o.inCharge() {
 		// The lease of a worker that does not answer is not extended: otherwise each
 		// poll would postpone the time at which it expires.
 		n.UntilMs = h.workerClock(now) + o.leaseLength().Milliseconds()
 		h.leaseUntil = max(h.leaseUntil, n.UntilMs)
+		o.countLease()
 	}
 	if h.failingSince.IsZero() && h.answered && (len(h.runs) > 0 || h.awaitsStarts) && len(h.unacked) == 0 {
 		wait := pollWait
@@ -106,7 +108,7 @@
 	}
 	h.polledAt, h.pollAcks = now, n.AckedThrough > 0
 	o.Stats.Polls.Inc(1)
-	to, wait := h.target(), time.Duration(n.WaitMs)*time.Millisecond
+	to, wait, begun := h.target(), time.Duration(n.WaitMs)*time.Millisecond, o.roundAt
 	delay := h.copyDelay(now)
 	within := wait + tryTimeout(h.failedPolls+1, delay)
 	go func() {
@@ -119,7 +121,7 @@
 			}
 			return o.Workers.Renew(ctx, to, n)
 		})
-		o.post(pollResult{h, to.Address, r, now, wait, n.AckedThrough, n.UntilMs > 0, c, err})
+		o.post(pollResult{h, to.Address, r, now, begun, wait, n.AckedThrough, n.UntilMs > 0, c, err})
 	}()
 }
 
@@ -178,7 +180,8 @@
 	}
 	// The worker read its clock when it answered, which may be long after the poll
 	// was sent. Counting from the sending would let the lease seem to expire early.
-	h.clock, h.clockAt, h.lastReport = m.report.ClockMs, now, m.sent
+	h.clock, h.clockAt, h.lastReport, h.obeyedAt = m.report.ClockMs, now, m.sent, m.begun
+	o.fence(h.id, h.startedMs)
 	h.acked = max(h.acked, m.acked)
 	h.idle = len(m.report.Running) == 0 && !listsAllEnds(&m.report)
 	h.recordLapse(&m.report, lapsed)
@@ -209,7 +212,7 @@
 	case errors.Is(err, runs.ErrFence):
 		o.depose("a worker has heard a higher token")
 	case errors.Is(err, runs.ErrIncarnation):
-		o.loseIncarnation(h, "another worker answers at the address")
+		o.evictIncarnation(h)
 	case errors.Is(err, context.Canceled):
 	case h.failingSince.IsZero():
 		h.failingSince = now
@@ -271,7 +274,7 @@
 	if withhold {
 		o.countWithheld(h, 1)
 	}
-	o.Log.Warn().Str("task", e.Task.String()).Int("run", e.Run).Str("host", h.id).Int64("number", e.Number).Bool("withheld", withhold).
+	o.identify(o.Log.Warn()).Str("task", e.Task.String()).Int("run", e.Run).Str("host", h.id).Int64("number", e.Number).Bool("withheld", withhold).
 		Msg("ignoring the end of a superseded run")
 	if p := h.runs[e.Task]; p != nil && p.run == e.Run {
 		o.freeRoom(h, p)
@@ -364,7 +367,7 @@
 		t = j.progress.Task(v.Task)
 	}
 	if t == nil {
-		o.Log.Error().Str("task", v.Task.String()).Int("run", v.Run).Str("host", h.id).Msg("worker reports a run of an unknown job; stopping it")
+		o.identify(o.Log.Error()).Str("task", v.Task.String()).Int("run", v.Run).Str("host", h.id).Msg("worker reports a run of an unknown job; stopping it")
 		o.stopUnknownRun(h, v.Task, v.Run)
 		return
 	}
@@ -381,10 +384,10 @@
 		}
 		t.SaveCheckpoint(v.Run, v.Percent, v.Checkpoint)
 		j.progress.Started = true
-		o.Log.Info().Str("task", v.Task.String()).Int("run", v.Run).Str("host", h.id).Msg("adopted a run of an earlier owner")
+		o.identify(o.Log.Info()).Str("task", v.Task.String()).Int("run", v.Run).Str("host", h.id).Msg("adopted a run of an earlier owner")
 		return
 	}
-	o.Log.Warn().Str("task", v.Task.String()).Int("run", v.Run).Str("host", h.id).Int64("born", h.startedMs).Int("current", t.Run).
+	o.identify(o.Log.Warn()).Str("task", v.Task.String()).Int("run", v.Run).Str("host", h.id).Int64("born", h.startedMs).Int("current", t.Run).
 		Str("currentHost", t.WorkerID).Msg("worker reports a run that is not current; stopping it")
 	p.stray = true
 	o.strays[t]++
