--- a/owner/host.go
+++ b/owner/host.go
@@ -246,7 +246,7 @@
 // replaceIncarnation removes a worker that has started again under its ID. The starts that
 // were answered since its last report may have been answered by the next incarnation.
 func (o *Owner) replaceIncarnation(h *host, why string) {
-	o.fence(h.id, h.startedMs)
+	o.noteFenced(h.id, h.startedMs)
 	for _, p := range h.runs {
 		if p.lastSentAt().After(h.lastReport) {
 			o.recordUnanswered(h, p)
@@ -257,7 +257,7 @@
 
 // evictIncarnation removes a worker at whose address another one answers.
 func (o *Owner) evictIncarnation(h *host) {
-	o.fence(h.id, h.startedMs)
+	o.noteFenced(h.id, h.startedMs)
 	o.loseIncarnation(h, "another worker answers at the address")
 }
 
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -174,7 +174,7 @@
 	// The worker read its clock when it answered, which may be long after the poll
 	// was sent. Counting from the sending would let the lease seem to expire early.
 	h.clock, h.clockAt, h.lastReport, h.obeyedAt = m.report.ClockMs, now, m.sent, m.begun
-	o.fence(h.id, h.startedMs)
+	o.noteFenced(h.id, h.startedMs)
 	h.acked = max(h.acked, m.acked)
 	h.idle = len(m.report.Running) == 0 && !listsAllEnds(&m.report)
 	h.recordLapse(&m.report, lapsed)
--- a/owner/release.go
+++ b/owner/release.go
@@ -36,7 +36,7 @@
 	o.fleetPlan = plan
 	for id := range plan.Ended {
 		if h := o.hosts[id]; h != nil {
-			o.fence(h.id, h.startedMs)
+			o.noteFenced(h.id, h.startedMs)
 			o.endIncarnation(h, "its host was moved or maintained")
 		}
 	}
--- a/owner/voters.go
+++ b/owner/voters.go
@@ -175,8 +175,8 @@
 	}
 }
 
-// fence records that an incarnation refuses earlier owners for good.
-func (o *Owner) fence(id string, startedMs int64) {
+// noteFenced records that an incarnation refuses earlier owners for good.
+func (o *Owner) noteFenced(id string, startedMs int64) {
 	if e := &o.electorates; o.formerOver.IsZero() && e.fenced != nil {
 		e.fenced[voter{id, startedMs}] = true
 	}
