owner: bound the announcements of a token by a time, not by the loop's state

The goroutines that tell a token at the addresses of lost workers read when the earlier owners are over while the loop writes it: a data race since that time is found out during a takeover. They get the latest time at their start.

--- a/owner/former.go
+++ b/owner/former.go
@@ -23,7 +23,15 @@
 // formerOrdersMayCome reports whether orders of an earlier owner may still be carried out by
 // an incarnation that has not seen this owner's token.
 func (o *Owner) formerOrdersMayCome(now time.Time) bool {
-	return o.Term > 1 && now.Sub(o.leasesFrom(now)) < formerPeriod
+	return o.Term > 1 && now.Before(o.formerOrdersUntil())
+}
+
+// formerOrdersUntil returns until when orders of an earlier owner may be carried out at the latest.
+func (o *Owner) formerOrdersUntil() time.Time {
+	if o.formerOver.IsZero() {
+		return o.pollsSince.Add(formerWait + formerPeriod)
+	}
+	return o.formerOver.Add(formerPeriod)
 }
 
 // announceTokenAt tells whatever answers next at the address of a lost worker this owner's
@@ -34,10 +42,10 @@
 		return
 	}
 	o.announcements.Add(1)
-	to := h.target()
+	to, until := h.target(), o.formerOrdersUntil()
 	go func() {
 		defer o.announcements.Add(-1)
-		for o.ctx.Err() == nil && o.formerOrdersMayCome(o.Clock.Now()) {
+		for o.ctx.Err() == nil && o.Clock.Now().Before(until) {
 			ctx, cancel := context.WithTimeout(o.ctx, minAnswerTimeout)
 			_, err := o.Workers.Renew(ctx, to, runs.Renew{Fence: o.Fence})
 			cancel()
