owner: split pools of three to five workers in the model

Whether one side of a split has a majority of the workers depends most on their number in small pools, and TestModelSplitPool had six in all. Every second seed begins with three to five now, that have the capacity of six together.

--- a/owner/pool_test.go
+++ b/owner/pool_test.go
@@ -71,6 +71,8 @@
 	// repeats makes entries repeat overdue writes to the store.
 	repeats bool
 	stats   *owner.Stats // of the owners of the pool
+	// size is the number of workers at the begin of run, 6 if 0.
+	size int
 	// retention is how long ended jobs are kept.
 	retention time.Duration
 	// split keeps entries from workers and from the store; nil unless the pool is split.
--- a/owner/splitpool_test.go
+++ b/owner/splitpool_test.go
@@ -364,6 +364,14 @@
 	pool.setStoreAway(false)
 }
 
+// enlargeWorkers gives the first workers the capacity of six.
+func (pool *testPool) enlargeWorkers() {
+	for _, w := range pool.workers.Registered() {
+		pool.workers.SetCapacity(w.ID, hosts.Resources{CPU: 6 * 8000 / pool.size, Mem: 6 * 8000 / pool.size})
+	}
+}
+
+// splitOften prepares a run with splits: every second one in a pool of three to five workers.
 func splitOften(seed uint64) func(pool *testPool) {
 	return func(pool *testPool) {
 		pool.workers.InTouchSince = pool.inTouchSince
@@ -375,8 +383,11 @@
 			}
 			return length, how
 		}
-		r := rand.New(rand.NewPCG(seed, 10))
-		go pool.splitOften(r)
+		if seed%2 == 1 {
+			pool.size = 3 + int(seed/2%3)
+			time.AfterFunc(time.Millisecond, pool.enlargeWorkers)
+		}
+		go pool.splitOften(rand.New(rand.NewPCG(seed, 10)))
 		if away := rand.New(rand.NewPCG(seed, 11)); away.IntN(2) == 0 {
 			go pool.takeStoreAway(away)
 		}
