--- a/elect/elect.go
+++ b/elect/elect.go
@@ -97,6 +97,8 @@
 	refusedFence map[string]int64
 	synced       bool // the elections have been read from the store
 	resigned     bool // this entry takes part no more
+
+	renewals renewals
 }
 
 // leader is a pool's leader: its entry, that entry's lease, and the revision of
@@ -132,8 +134,9 @@
 	watchTimeout = 2 * time.Second
 	// retryDelay is the pause after a failed call to the store.
 	retryDelay = 100 * time.Millisecond
-	// renewalsPerTTL is how often a lease is renewed within its TTL.
-	renewalsPerTTL = 4
+	// renewalInterval is how often the lease is renewed: owners count the leases of workers from
+	// it.
+	renewalInterval = 250 * time.Millisecond
 )
 
 // New returns an elector; Run starts it.
@@ -231,11 +234,12 @@
 		e.onLeaseGranted(ctx, m)
 	case registered:
 		e.granting, e.keyWrittenAt = false, e.Clock.Now()
-		e.Log.Info().Err(m.err).Msg("entry registered again")
+		e.Log.Warn().Err(m.err).Msg("entry registered again")
 		if errors.Is(m.err, plat.ErrNotFound) {
 			e.endLease(m.lease)
 		}
 	case leaseRenewed:
+		e.noteRenewal(m)
 		e.onLeaseRenewed(m)
 	case claimEnded:
 		e.onClaimEnded(m)
@@ -370,7 +374,7 @@
 		return
 	}
 	delete(e.held, pool)
-	e.Log.Warn().Str("pool", pool).Int64("fence", t.Fence).Str("cause", cause).Msg("leadership lost")
+	e.sinceRenewal(e.Log.Warn()).Str("pool", pool).Int64("fence", t.Fence).Int("term", t.Number).Str("cause", cause).Msg("leadership lost")
 	e.Lost(t, cause)
 }
 
