owner: check that split pools detect a missing safeguard

TestModelSplitPoolCatches runs the model of a split pool with an owner that goes on without evidence, with a successor that takes earlier owners for ended, and with leases that outlast the evidence.

Owners of the model take ProvenAt and FormerEnded from testPool, so that tests can replace them.

--- a/owner/pool_test.go
+++ b/owner/pool_test.go
@@ -73,6 +73,10 @@
 	stats   *owner.Stats // of the owners of the pool
 	// retention is how long ended jobs are kept.
 	retention time.Duration
+	// provenAt and formerEnded are what owners hear of the election. Tests replace them to
+	// disable a safeguard.
+	provenAt    func(e *entry) func() time.Duration
+	formerEnded func() bool
 	// split keeps entries from workers and from the store; nil unless the pool is split.
 	split *split
 	// storeAway makes all calls of entries to the store fail.
@@ -195,6 +199,8 @@
 		pool.log.Writer = log.IOWriter{Writer: os.Stderr}
 	}
 	pool.commit, pool.start, pool.renew, pool.list = pool.kv.Commit, pool.workers.Start, pool.workers.Renew, pool.workers.Registered
+	pool.provenAt = func(e *entry) func() time.Duration { return e.elect.ProvenAt }
+	pool.formerEnded = func() bool { return false }
 	pool.workers.OnAckedEnd = pool.unrecordedEnd
 	lengths := rand.New(rand.NewPCG(seed, 8))
 	var mu sync.Mutex
@@ -330,7 +336,7 @@
 		Bounds:     owner.Bounds{MaxLease: holdMax, StopTime: 200 * time.Millisecond, Drain: 2 * time.Second, StatusRetention: pool.retention},
 		Store:      owner.Store{List: store.List, Watch: store.Watch, Commit: store.Commit},
 		Workers:    pool.orders(e),
-		AskAdvisor: pool.workers.AskIn(e.turn), Advice: e.line, Proven: e.elect.Proven, ProvenAt: e.elect.ProvenAt, FormerEnded: func() bool { return false }, Settled: func() {}, SinceBoot: func() time.Duration { return time.Duration(time.Now().UnixNano()) },
+		AskAdvisor: pool.workers.AskIn(e.turn), Advice: e.line, Proven: e.elect.Proven, ProvenAt: pool.provenAt(e), FormerEnded: pool.formerEnded, Settled: func() {}, SinceBoot: func() time.Duration { return time.Duration(time.Now().UnixNano()) },
 		ReadPlan: func(context.Context) (owner.PoolPlan, error) {
 			pool.mu.Lock()
 			defer pool.mu.Unlock()
--- a/owner/splitpool_test.go
+++ b/owner/splitpool_test.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -393,3 +394,39 @@
 		})
 	}
 }
+
+// TestModelSplitPoolCatches checks that splits detect a missing safeguard.
+func TestModelSplitPoolCatches(t *testing.T) {
+	for name, prepare := range map[string]func(pool *testPool){
+		"an owner that goes on without evidence": func(pool *testPool) {
+			pool.provenAt = func(*entry) func() time.Duration {
+				return func() time.Duration { return time.Duration(time.Now().UnixNano()) }
+			}
+		},
+		"a successor that takes earlier owners for ended": func(pool *testPool) {
+			pool.formerEnded = func() bool { return true }
+		},
+		"leases that outlast the evidence": func(pool *testPool) {
+			pool.renew = func(ctx context.Context, to runs.Target, n runs.Renew) (runs.Report, error) {
+				if n.UntilMs > 0 {
+					n.UntilMs += (2 * time.Second).Milliseconds()
+				}
+				return pool.workers.Renew(ctx, to, n)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range seeds() {
+				pool := run(t, seed, func(pool *testPool) {
+					prepare(pool)
+					splitOften(seed)(pool)
+				})
+				if slices.ContainsFunc(pool.workers.Violations(), func(v string) bool { return strings.HasPrefix(v, "TWICE") }) {
+					t.Logf("seed %d", seed)
+					return
+				}
+			}
+			t.Error("no seed reveals the missing safeguard")
+		})
+	}
+}
