--- a/agent/agent.go
+++ b/agent/agent.go
@@ -233,7 +233,7 @@
 
 // unreachableAfter is the time without a served call after which the store counts
 // as unreachable. Calls are frequent enough: renewals of the lease alone come four
-// times within its TTL.
+// times a second.
 const unreachableAfter = time.Second
 
 // storeUnreachable reports whether this entry can't reach the store.
@@ -271,7 +271,7 @@
 		},
 		ReadPlan:   func(ctx context.Context) (owner.PoolPlan, error) { return a.readPoolPlan(ctx, t.Pool) },
 		AskAdvisor: a.advisor.Ask, Advice: a.advice, Proven: a.elector.Proven, ProvenAt: a.elector.ProvenAt,
-		FormerEnded: func() bool { return false }, Settled: func() {}, SinceBoot: sinceBoot,
+		FormerEnded: func() bool { return a.elector.FormerEnded(t) }, Settled: func() { a.elector.Settle(t) }, SinceBoot: sinceBoot,
 		Clock: a.clock, Log: a.log, Stats: a.stats,
 	})
 	a.addRunner(t, o, stop)
--- a/elect/elect.go
+++ b/elect/elect.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,8 @@
 	entryPrefix  = prefix + "node/"
 	leaderPrefix = prefix + "lead/"
 	termPrefix   = prefix + "term/"
+	bootPrefix   = prefix + "boot/"
+	pastPrefix   = prefix + "past/"
 )
 
 // Key returns the store key that the leader of a pool holds.
@@ -46,6 +49,10 @@
 	Fence int64
 	// Number counts the elections of the pool, from 1.
 	Number int
+	// former has the earlier leaders that may still have acted at the election; never one of
+	// this entry, whose earlier leaderships are lost before it can be elected again.
+	former []actor
+	boot   int64 // of this entry
 }
 
 // Params are the parameters of New.
@@ -77,18 +84,34 @@
 	registeredAt time.Time
 	keyWrittenAt time.Time // when the entry's key was last written
 	renewedAt    time.Time
-	// provenUntil is until when the lease certainly lasts, by SinceBoot; read by Proven.
-	provenUntil atomic.Int64
-	granting    bool // a request for a lease, or a registration, is under way
-	renewing    bool // a renewal of the lease is under way
+	// provenAt is the time that ProvenAt returns.
+	provenAt atomic.Int64
+	// watchAnsweredAt is when a call of watchStore was last answered, by SinceBoot.
+	watchAnsweredAt atomic.Int64
+	// troubles counts the events after which the store may have taken away leaders' keys
+	// unnoticed; checked is its value when the keys were last found in place.
+	troubles, checked int
+	troubleAt         time.Duration // of the last trouble, by SinceBoot
+	granting          bool          // a request for a lease, or a registration, is under way
+	renewing          bool          // a renewal of the lease is under way
 
 	pools        []string
 	coresByEntry map[string]float64     // of the registered entries
 	leaders      map[string]leader      // by pool, as the store has them
+	removedAt    map[string]int64       // the last revision at which a pool was known to have no leader
 	terms        map[string]termCounter // by pool
-	vacantSince  map[string]time.Time   // when a pool was first known to have no leader
-	writePending map[string]bool        // pools whose leader key this entry is claiming or removing
-	held         map[string]Term        // pools that this entry leads
+	past         map[string]pastValue   // by pool
+	// boots has the boot counters that can be read, by entry; publishedBoots is a copy for
+	// other goroutines.
+	boots          map[string]bootCounter
+	publishedBoots atomic.Pointer[map[string]bootCounter]
+	// boot is this entry's counter as it last wrote it.
+	boot bootCounter
+	// registerAfter is when this entry may register again; zero for at once.
+	registerAfter time.Time
+	vacantSince   map[string]time.Time // when a pool was first known to have no leader
+	writePending  map[string]bool      // pools whose leader key this entry is claiming or removing
+	held          map[string]Term      // pools that this entry leads
 	// former has the pools whose leader's key ended with this entry's lease, and that no
 	// other entry has claimed since.
 	former map[string]bool
@@ -141,11 +164,16 @@
 
 // New returns an elector; Run starts it.
 func New(p Params) *Elector {
-	return &Elector{
+	e := &Elector{
 		Params: p, messages: make(chan any, 64), coresByEntry: map[string]float64{}, leaders: map[string]leader{},
 		terms: map[string]termCounter{}, vacantSince: map[string]time.Time{}, writePending: map[string]bool{}, held: map[string]Term{},
-		refusedFence: map[string]int64{}, former: map[string]bool{},
+		refusedFence: map[string]int64{}, former: map[string]bool{}, removedAt: map[string]int64{},
+		past: map[string]pastValue{}, boots: map[string]bootCounter{},
 	}
+	e.publishBoots()
+	e.provenAt.Store(int64(never))
+	e.watchAnsweredAt.Store(int64(p.SinceBoot()))
+	return e
 }
 
 // Messages to the goroutine in Run.
@@ -155,11 +183,14 @@
 	ownerRefused    struct{ pool string }
 	storeChanged    struct {
 		items    []plat.Item
-		complete bool // the items are a full listing
+		rev      int64 // every change up to it is known with the items
+		complete bool  // the items are a full listing
 	}
+	watchFailed  struct{}
 	leaseGranted struct {
 		lease int64
 		sent  time.Duration // by SinceBoot
+		boot  bootCounter
 		err   error
 	}
 	registered struct {
@@ -170,18 +201,25 @@
 		lease int64
 		at    time.Time
 		sent  time.Duration // by SinceBoot
+		slow  bool          // the answer was overdue
 		err   error
+		// troubles is the elector's count at the time sent.
+		troubles int
+		// leaders has the leaders' keys, read after the renewal; nil if they were not read.
+		leaders *listing
+		readErr error // of reading them
 	}
 	keyRemoved struct {
 		pool string
 		err  error
 	}
 	claimEnded struct {
-		pool  string
-		lease int64 // of the claim
-		term  int
-		rev   int64
-		err   error
+		pool   string
+		lease  int64 // of the claim
+		term   int
+		former []actor
+		rev    int64
+		err    error
 	}
 )
 
@@ -235,9 +273,11 @@
 	case registered:
 		e.granting, e.keyWrittenAt = false, e.Clock.Now()
 		e.Log.Warn().Err(m.err).Msg("entry registered again")
-		if errors.Is(m.err, plat.ErrNotFound) {
-			e.endLease(m.lease)
+		if errors.Is(m.err, plat.ErrNotFound) || errors.Is(m.err, plat.ErrConflict) {
+			e.endLease(m.lease) // or the registration under it is no longer the last
 		}
+	case watchFailed:
+		e.noteTrouble()
 	case leaseRenewed:
 		e.noteRenewal(m)
 		e.onLeaseRenewed(m)
@@ -280,6 +320,9 @@
 		} else {
 			items, next, err = e.Store.Watch(ctx, prefix, rev, watchTimeout)
 		}
+		if err != nil {
+			e.send(ctx, watchFailed{})
+		}
 		switch {
 		case errors.Is(err, plat.ErrCompacted):
 			rev = 0
@@ -288,8 +331,9 @@
 		default:
 			rev = next
 			if complete || len(items) > 0 {
-				e.send(ctx, storeChanged{items, complete})
+				e.send(ctx, storeChanged{items, next, complete})
 			}
+			e.watchAnsweredAt.Store(int64(e.SinceBoot()))
 		}
 	}
 }
@@ -308,7 +352,9 @@
 func (e *Elector) applyChanges(m storeChanged) {
 	if m.complete {
 		clear(e.coresByEntry)
-		clear(e.leaders)
+		clear(e.past)
+		clear(e.boots)
+		maps.DeleteFunc(e.leaders, func(_ string, l leader) bool { return l.rev <= m.rev })
 		e.synced = true
 	}
 	for _, it := range m.items {
@@ -324,8 +370,16 @@
 			e.applyLeader(strings.TrimPrefix(it.Key, leaderPrefix), it)
 		case strings.HasPrefix(it.Key, termPrefix) && !it.Deleted:
 			e.terms[strings.TrimPrefix(it.Key, termPrefix)] = termCounter{e.termNumber(it), it.Rev}
+		case strings.HasPrefix(it.Key, pastPrefix):
+			e.applyPast(strings.TrimPrefix(it.Key, pastPrefix), it)
+		case strings.HasPrefix(it.Key, bootPrefix):
+			e.applyBoot(strings.TrimPrefix(it.Key, bootPrefix), it)
 		}
 	}
+	e.publishBoots()
+	if e.boots[e.Name].rev > e.boot.rev {
+		e.superseded(e.lease)
+	}
 	for pool, t := range e.held {
 		if l, ok := e.leaders[pool]; !ok && m.complete || ok && l.rev > t.Fence {
 			e.lose(pool, "the store has no such leader")
@@ -351,6 +405,7 @@
 		if l.rev > it.Rev {
 			return // the key has been written again since
 		}
+		e.removedAt[pool] = max(e.removedAt[pool], it.Rev)
 		if l.entry == e.Name && !e.writePending[pool] {
 			e.former[pool] = true
 		}
@@ -360,12 +415,21 @@
 		}
 		return
 	}
+	if it.Rev <= e.removedAt[pool] || it.Rev < e.leaders[pool].rev {
+		return // a later state is known
+	}
+	v := e.decodeLeader(it)
+	e.leaders[pool] = leader{v.Entry, v.Lease, it.Rev}
+	delete(e.former, pool)
+}
+
+// decodeLeader returns the value of a leader's key: the zero value if it can't be read.
+func (e *Elector) decodeLeader(it plat.Item) leaderValue {
 	var v leaderValue
 	if err := json.Unmarshal(it.Value, &v); err != nil {
 		e.Log.Error().Str("key", it.Key).Err(err).Msg("leader key cannot be decoded")
 	}
-	e.leaders[pool] = leader{v.Entry, v.Lease, it.Rev}
-	delete(e.former, pool)
+	return v
 }
 
 func (e *Elector) lose(pool, cause string) {
@@ -382,6 +446,7 @@
 	if e.resigned {
 		return
 	}
+	e.noteSilentWatch()
 	e.maintainLease(ctx, now)
 	switch {
 	case !e.synced || e.lease == 0:
@@ -392,16 +457,18 @@
 	}
 }
 
-// resignAll gives up all pools and revokes the entry's lease, which removes its
-// leader keys.
+// resignAll gives up all pools, says so by the entry's boot counter, and revokes the
+// entry's lease, which removes its leader keys.
 func (e *Elector) resignAll(ctx context.Context, done chan struct{}) {
 	for pool := range e.held {
 		e.lose(pool, "entry stops")
 	}
-	lease := e.lease
+	lease, boot := e.lease, e.boot
 	e.lease = 0
+	e.disprove()
 	go func() {
 		defer close(done)
+		e.raiseBoot(ctx, boot)
 		if lease == 0 {
 			return
 		}
--- a/owner/charge.go
+++ b/owner/charge.go
@@ -6,10 +6,14 @@
 	// maxEvidenceAge is the age of its evidence up to which an owner gives starts and leases: an
 	// election that is not renewed ends within it, and there is time for a round of polls.
 	maxEvidenceAge = 2 * time.Second
+	// maxProofAge is the age of the store's proof from which on the workers are asked as well.
+	maxProofAge = maxEvidenceAge / 2
 	// maxUnproven is for how long owners go on by the word of the workers alone while the store
-	// can't be reached. A later owner that reaches no majority of the workers, and does not know
-	// that the earlier ones have ended, waits as long.
-	maxUnproven = 30 * time.Second
+	// can't be reached.
+	maxUnproven = 20 * time.Second
+	// formerWait is how long a later owner waits that reaches no majority of the workers, and does
+	// not know that the earlier ones have ended: as long, by a clock that may differ.
+	formerWait = maxUnproven + maxUnproven/50
 )
 
 // updateEvidence updates the time of the evidence that this owner is in charge of its pool: no
@@ -17,18 +21,30 @@
 func (o *Owner) updateEvidence() {
 	o.roundAt = o.SinceBoot()
 	o.noteProof(o.ProvenAt())
-	if o.roundAt-o.provenAt > maxEvidenceAge/2 {
+	if inDoubt := o.roundAt-o.provenAt > maxProofAge; inDoubt != o.inDoubt {
+		o.inDoubt = inDoubt
+		o.logDoubt()
+	}
+	if o.inDoubt {
 		o.evidence = max(o.evidence, min(o.obeyedAt(), o.provenAt+maxUnproven))
 	}
-	inCharge := o.inCharge()
-	if inCharge == o.outOfCharge {
-		o.outOfCharge = !inCharge
-		o.passNeeded = o.passNeeded || inCharge
-		o.identify(o.Log.Warn()).Bool("orders", inCharge).Dur("evidence", o.roundAt-o.evidence).Dur("proof", o.roundAt-o.provenAt).
-			Int("hosts", len(o.hosts)).Msg("evidence that no later owner acts has come or gone")
+	if outOfCharge := !o.inCharge(); outOfCharge != o.outOfCharge {
+		o.outOfCharge = outOfCharge
+		o.noteCharge()
 	}
 }
 
+// noteCharge logs that the owner stops giving starts and leases, or gives them again.
+func (o *Owner) noteCharge() {
+	what := "owner has evidence again that it is in charge"
+	if o.outOfCharge {
+		what = "owner has no evidence that it is in charge; giving neither starts nor leases"
+		o.Stats.EvidenceLost.Inc(1)
+	}
+	o.passNeeded = true
+	o.identify(o.Log.Warn()).Dur("evidence", o.roundAt-o.evidence).Dur("proof", o.roundAt-o.provenAt).Int("hosts", len(o.hosts)).Msg(what)
+}
+
 // noteProof records that the store has proved by a call sent at a time, by SinceBoot, that this
 // owner's election was in force.
 func (o *Owner) noteProof(sent time.Duration) {
@@ -52,21 +68,24 @@
 	if !o.formerOver.IsZero() {
 		return
 	}
-	over, cause := now, ""
+	cause := ""
 	switch {
 	case o.Term <= 1:
-		over, cause = o.pollsSince, "there was none"
+		cause = "there was none"
 	case o.FormerEnded():
 		cause = "they have ended"
 	case o.formerFenced():
 		cause = "a majority of the workers refuses their tokens"
-	case now.Sub(o.pollsSince) >= maxUnproven:
-		over, cause = o.pollsSince.Add(maxUnproven), "they had no majority of the workers for long"
+	case now.Sub(o.pollsSince) >= formerWait:
+		cause = "they could not go on for longer"
 	default:
 		o.warnOfFormer(now)
 		return
 	}
-	o.formerOver, o.electorates.changed = over, true
+	o.formerOver, o.electorates.changed = o.Clock.Now(), true
+	if o.Term <= 1 {
+		o.formerOver = o.pollsSince
+	}
 	o.identify(o.Log.Info()).Str("cause", cause).Dur("after", now.Sub(o.pollsSince)).
 		Int("voters", len(o.electorates.former)).Int("refusing", len(o.electorates.fenced)).Int("unread", o.unansweredHosts()).
 		Msg("earlier owners give no leases any more")
--- a/owner/host.go
+++ b/owner/host.go
@@ -23,6 +23,8 @@
 	// answered is true once this incarnation has answered a poll, and so has seen the
 	// owner's fencing token.
 	answered bool
+	// givenUp tells that the worker has answered, and has not since its lease was over.
+	givenUp bool
 	// inherited tells that an earlier owner has stored the worker in the roster.
 	inherited bool
 	startedMs int64
@@ -43,6 +45,9 @@
 	// leaseUntil is the end of the longest lease given, in milliseconds of the
 	// worker's clock.
 	leaseUntil int64
+	// longerLease is the time left, by the worker's clock, of a lease that may outlast those that
+	// owners give, when the roster was last encoded or read; 0 if it does not.
+	longerLease time.Duration
 	// Numbers of ends: lastEnd is the highest one handled, acked the highest one
 	// acknowledged to the worker, and ackable the highest one that may be
 	// acknowledged.
@@ -116,8 +121,8 @@
 	doubtPollWait     = 500 * time.Millisecond
 	doubtPollInterval = 500 * time.Millisecond
 	// maxClockAge is the age from which an idle worker's clock is read again, as its
-	// lower bound falls behind.
-	maxClockAge = 20 * time.Second
+	// lower bound falls behind, and the voters must not hold many that are silent.
+	maxClockAge = 5 * time.Second
 	// pollWait is how long a worker may hold a poll until a run ends.
 	pollWait = 1000 * time.Millisecond
 	// startPollWait replaces pollWait on a worker with a long-running subtask that is
@@ -154,7 +159,7 @@
 // A worker that has not answered this owner may have a lease of an earlier owner, which
 // ends by a lower bound of the worker's clock at most leaseHorizon after leasesFrom.
 func (h *host) leaseExpired(now, leasesFrom time.Time) bool {
-	from, lease := leasesFrom, leaseHorizon
+	from, lease := leasesFrom, max(leaseHorizon, h.longerLease)
 	if h.answered {
 		from, lease = h.clockAt, time.Duration(h.leaseUntil-h.clock)*time.Millisecond
 	}
@@ -241,7 +246,7 @@
 // replaceIncarnation removes a worker that has started again under its ID. The starts that
 // were answered since its last report may have been answered by the next incarnation.
 func (o *Owner) replaceIncarnation(h *host, why string) {
-	o.fence(h.id, h.startedMs)
+	o.noteFenced(h.id, h.startedMs)
 	for _, p := range h.runs {
 		if p.lastSentAt().After(h.lastReport) {
 			o.recordUnanswered(h, p)
@@ -252,7 +257,7 @@
 
 // evictIncarnation removes a worker at whose address another one answers.
 func (o *Owner) evictIncarnation(h *host) {
-	o.fence(h.id, h.startedMs)
+	o.noteFenced(h.id, h.startedMs)
 	o.loseIncarnation(h, "another worker answers at the address")
 }
 
@@ -328,6 +333,8 @@
 				continue
 			}
 			if h.listed && len(h.runs) == 0 && h.answered {
+				o.electorates.changed = o.electorates.changed || !h.givenUp
+				h.givenUp = true
 				continue // keep polling
 			}
 			if h.listed && !h.answered {
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -49,15 +49,6 @@
 	return !h.answered || h.awaitsStarts || h.proofDue || len(h.runs) > 0 || h.ackable > h.acked || len(h.unacked) > 0 || !h.failingSince.IsZero() || now.Sub(h.clockAt) > maxClockAge
 }
 
-// checkElection notes whether the election is certainly in force. While it is in doubt, all
-// workers are polled: one that has seen a later owner's token tells.
-func (o *Owner) checkElection() {
-	if inDoubt := !o.Proven(); inDoubt != o.inDoubt {
-		o.inDoubt = inDoubt
-		o.logDoubt()
-	}
-}
-
 // pollHosts polls the workers that are due.
 func (o *Owner) pollHosts(now time.Time) {
 	o.markLosses(now)
@@ -164,6 +155,8 @@
 	if !h.failingSince.IsZero() {
 		o.Log.Info().Str("pool", o.Pool).Str("host", h.id).Dur("away", now.Sub(h.failingSince)).Msg("worker is answering again")
 		h.failingSince = time.Time{}
+		o.electorates.changed = o.electorates.changed || h.givenUp
+		h.givenUp = false
 		o.leaveUnblocked(h, now)
 		o.passNeeded = true
 	}
@@ -181,7 +174,7 @@
 	// The worker read its clock when it answered, which may be long after the poll
 	// was sent. Counting from the sending would let the lease seem to expire early.
 	h.clock, h.clockAt, h.lastReport, h.obeyedAt = m.report.ClockMs, now, m.sent, m.begun
-	o.fence(h.id, h.startedMs)
+	o.noteFenced(h.id, h.startedMs)
 	h.acked = max(h.acked, m.acked)
 	h.idle = len(m.report.Running) == 0 && !listsAllEnds(&m.report)
 	h.recordLapse(&m.report, lapsed)
--- a/owner/splitpool_test.go
+++ b/owner/splitpool_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"shallotpaddle/elect"
 	"shallotpaddle/hosts"
 	"shallotpaddle/runs"
 	"shallotpaddle/steps"
@@ -416,7 +417,7 @@
 			}
 		},
 		"a successor that takes earlier owners for ended": func(pool *testPool) {
-			pool.formerEnded = func() bool { return true }
+			pool.formerEnded = func(*entry, elect.Term) bool { return true }
 		},
 		"leases that outlast the evidence": func(pool *testPool) {
 			pool.renew = func(ctx context.Context, to runs.Target, n runs.Renew) (runs.Report, error) {
--- a/owner/voters.go
+++ b/owner/voters.go
@@ -144,11 +144,11 @@
 	return b
 }
 
-// answeredVoters returns the workers that have answered this owner, in order.
+// answeredVoters returns the workers that have answered this owner and are not given up, in order.
 func (o *Owner) answeredVoters() []voter {
 	list := make([]voter, 0, len(o.hosts))
 	for _, id := range slices.Sorted(maps.Keys(o.hosts)) {
-		if h := o.hosts[id]; h.answered {
+		if h := o.hosts[id]; h.answered && !h.givenUp {
 			list = append(list, voter{h.id, h.startedMs})
 		}
 	}
@@ -175,8 +175,8 @@
 	}
 }
 
-// fence records that an incarnation refuses earlier owners for good.
-func (o *Owner) fence(id string, startedMs int64) {
+// noteFenced records that an incarnation refuses earlier owners for good.
+func (o *Owner) noteFenced(id string, startedMs int64) {
 	if e := &o.electorates; o.formerOver.IsZero() && e.fenced != nil {
 		e.fenced[voter{id, startedMs}] = true
 	}
