owner: store longer leases anew as they become shorter

It is stored anew with each usual lease that has passed, and dropped in the end.

TestStoredLeaseThatIsOverIsForgotten fails without it.

--- a/owner/late_test.go
+++ b/owner/late_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -102,3 +103,28 @@
 	r.startRefused(r.hosts["w"], p, runs.ErrNoCapacity, r.clock.Now())
 	require.Equal(t, maxOrderDelay, r.hosts["w"].noRoomUntil.Sub(r.clock.Now()))
 }
+
+// LOST: a later owner waits for a lease that a late order gave a worker long ago.
+func TestStoredLeaseThatIsOverIsForgotten(t *testing.T) {
+	r, h := newRig(t), newHost(hosts.Worker{ID: "w", StartedMs: 1000})
+	r.hosts["w"], h.answered, h.clockAt = h, true, r.clock.Now()
+	h.leaseUntil = h.clock + (20 * time.Second).Milliseconds()
+	stored := func() int64 {
+		list, err := decodeRoster(r.encodeRoster())
+		require.NoError(t, err)
+		return list[slices.IndexFunc(list, func(e rosterEntry) bool { return e.ID == "w" })].LeaseMs
+	}
+	require.EqualValues(t, 20_000, stored())
+	for range 25 {
+		r.clock.Advance(time.Second)
+		version := r.roster.version
+		r.refreshLongerLeases(r.clock.Now())
+		if r.roster.version > version {
+			stored()
+		}
+		left := max(h.leaseLeft(r.clock.Now()), 0)
+		require.Less(t, h.longerLease, left+leaseHorizon, "is stored again as it becomes shorter")
+		require.True(t, h.longerLease == 0 || h.longerLease >= left)
+	}
+	require.Zero(t, stored())
+}
--- a/owner/roster.go
+++ b/owner/roster.go
@@ -41,12 +41,30 @@
 	return rosterEntry{ID: h.id, Address: h.worker.Address, StartedMs: h.startedMs, LeaseMs: h.longerLease.Milliseconds()}
 }
 
+// leaseLeft returns the time left of a worker's lease, by its clock.
+func (h *host) leaseLeft(now time.Time) time.Duration {
+	return time.Duration(h.leaseUntil-h.workerClock(now)) * time.Millisecond
+}
+
 // updateLongerLease updates longerLease, which the stored roster has by the time the worker gets
-// work. Until it is stored again, later owners wait for the lease as it was then.
+// work.
 func (h *host) updateLongerLease(now time.Time) {
-	left := time.Duration(h.leaseUntil-h.workerClock(now)) * time.Millisecond
-	if h.longerLease = 0; left > leaseHorizon {
-		h.longerLease = left
+	if h.longerLease = 0; h.leaseLeft(now) > leaseHorizon {
+		h.longerLease = h.leaseLeft(now)
+	}
+}
+
+// refreshLongerLeases has the roster stored again when a longer lease in it has become shorter by
+// a usual one: later owners wait for the lease as it is stored.
+func (o *Owner) refreshLongerLeases(now time.Time) {
+	for _, h := range o.hosts {
+		if !h.answered || h.longerLease == 0 {
+			continue
+		}
+		if left := h.leaseLeft(now); left <= leaseHorizon || h.longerLease-left >= leaseHorizon {
+			h.updateLongerLease(now)
+			o.markChanged(o.roster)
+		}
 	}
 }
 
