owner: show that a removed job in a late list runs again

A list of all jobs, as after a compaction or a silent watch, that is under way while the owner removes a job has it still. The owner knows the job no more and adds it as a new one: it runs again after its acknowledged end.

--- a/owner/pool_test.go
+++ b/owner/pool_test.go
@@ -79,6 +79,9 @@
 	storeAway bool
 	// byFence has the entries that were elected, by their tokens.
 	byFence map[int64]*entry
+	// lateList returns how late the answer to a list of a prefix is; nil stands for not at all. It
+	// is set before entries start.
+	lateList func(prefix string) time.Duration
 	// slow has the time by which the answers of a worker are late.
 	slow map[string]time.Duration
 }
@@ -259,7 +262,11 @@
 				pause(ctx)
 				return nil, 0, err
 			}
-			return pool.kv.List(ctx, p)
+			items, rev, err := pool.kv.List(ctx, p)
+			if pool.lateList != nil {
+				time.Sleep(pool.lateList(p))
+			}
+			return items, rev, err
 		},
 		Watch: func(ctx context.Context, p string, after int64, wait time.Duration) ([]plat.Item, int64, error) {
 			if err := cutOr(nil); err != nil {
