owner: remember removed jobs, so that a late list does not bring them back

A job ran again after it had ended and its state could no longer be asked for (TWICE), found by the model's hour: a list of all jobs was under way while the job was removed, and had it.

An owner ignores what is older than the removal for a minute.

--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"time"
 
@@ -118,7 +119,7 @@
 // the end, after the recorded progress.
 func (o *Owner) handleItem(it plat.Item, watched bool) {
 	id, cancel := splitKey(o.Pool, it.Key)
-	if it.Deleted {
+	if r, ok := o.removed[id]; it.Deleted || ok && it.Rev <= r.rev {
 		return // only owners remove jobs
 	}
 	if cancel {
@@ -317,6 +318,30 @@
 		Int64("ageMs", o.Clock.Now().UnixMilli()-j.progress.Job.Accepted).Msg("job ended")
 }
 
+// removal is the revision of the store at which a job was removed, and when that was heard of.
+type removal struct {
+	rev int64
+	at  time.Time
+}
+
+// removalMemory is for how long removed jobs are remembered: longer than a list of all jobs takes
+// that was begun before the removal and still has them.
+const removalMemory = time.Minute
+
+// noteRemoved drops jobs that have been removed from the store, and remembers the removal.
+func (o *Owner) noteRemoved(m commitResult) {
+	for _, id := range m.removed {
+		delete(o.jobs, id)
+		delete(o.cancelRequests, id)
+		o.removed[id] = removal{m.rev, o.Clock.Now()}
+	}
+}
+
+// forgetRemoved drops the removals that no list can miss any more.
+func (o *Owner) forgetRemoved(now time.Time) {
+	maps.DeleteFunc(o.removed, func(_ string, r removal) bool { return now.Sub(r.at) > removalMemory })
+}
+
 // removalDelay is how long an ended job is kept beyond Bounds.StatusRetention.
 const removalDelay = 10 * time.Second
 
--- a/owner/modelhour_test.go
+++ b/owner/modelhour_test.go
@@ -35,6 +35,8 @@
 	// then: owners keep them for 10 s more, and remove some at a time.
 	hourRetention = 20 * time.Second
 	hourKept      = hourRetention + 10*time.Second + 5*time.Second
+	// removedKept is how long an owner remembers jobs that it has removed, and until it looks again.
+	removedKept = time.Minute + 5*time.Second
 	// arrivalsKept is how long an owner counts the arrivals of jobs: 4.2 s, and until it looks again.
 	arrivalsKept = 10 * time.Second
 	// hourWorkers is the number of workers at work.
--- a/owner/modelhourmarks_test.go
+++ b/owner/modelhourmarks_test.go
@@ -27,6 +27,7 @@
 	steps    int // of the jobs
 	tasks    int // of the jobs
 	arrivals int // jobs that arrived lately
+	removed  int // jobs that may have been removed lately
 	workers  int
 	gone     map[string]bool // workers that left while owners remember them
 }
@@ -104,6 +105,10 @@
 			h.checked[j.ID] = true
 			h.checkEnd(t, j, end)
 		}
+		// The owners of the part with failures may each begin the time of an ended job anew.
+		if ended && now.Sub(end.at) <= hourKept+removedKept+hourCycle-hourQuiet {
+			l.removed++
+		}
 		if ended && now.Sub(end.at) > hourKept {
 			continue
 		}
@@ -152,7 +157,7 @@
 	return map[string]int{
 		"hosts.Worker.Labels": 2 * l.workers,
 		"owner.Digest.Hosts":  known, "owner.Digest.Released": 0, "owner.Digest.Waiting": 1,
-		"owner.Owner.cancelRequests": len(l.cancels), "owner.Owner.done": 0, "owner.Owner.inbox": 0,
+		"owner.Owner.cancelRequests": len(l.cancels), "owner.Owner.removed": l.removed, "owner.Owner.done": 0, "owner.Owner.inbox": 0,
 		"owner.Owner.forecasts": 1, "owner.Owner.inflows": 1, "owner.Owner.queues": 1,
 		"owner.Owner.hosts": l.workers, "owner.Owner.jobs": len(l.keep), "owner.Owner.openJobs": l.open,
 		"owner.Owner.lapsed": len(l.gone), "owner.Owner.refusals": known,
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -108,6 +108,7 @@
 	jobs           map[string]*job
 	openJobs       []*job               // jobs not ended, by rank, then by time of acceptance
 	cancelRequests map[string]time.Time // when each was first read, by job ID; the job may not be known yet
+	removed        map[string]removal   // jobs that were removed from the store lately, by ID
 	writer         writer
 	roster         *doc // the stored list of workers that may have runs of the pool
 	voters         *doc // the stored list of workers that prove who is in charge
@@ -203,7 +204,7 @@
 func New(p Params) *Owner {
 	o := &Owner{
 		Params: p, inbox: make(chan any, inboxSize), done: make(chan struct{}), hosts: map[string]*host{}, jobs: map[string]*job{},
-		cancelRequests: map[string]time.Time{}, forecasts: map[string]*pack.Forecast{}, inflows: map[string]*shift.Inflow{}, unanswered: map[string][]*unansweredStart{}, lateOrders: map[string][]*lateOrders{}, trialHosts: map[*steps.Task]*host{}, strays: map[*steps.Task]int{}, refusals: map[string]*refusal{}, lapsed: map[string]lapsedLease{},
+		cancelRequests: map[string]time.Time{}, removed: map[string]removal{}, forecasts: map[string]*pack.Forecast{}, inflows: map[string]*shift.Inflow{}, unanswered: map[string][]*unansweredStart{}, lateOrders: map[string][]*lateOrders{}, trialHosts: map[*steps.Task]*host{}, strays: map[*steps.Task]int{}, refusals: map[string]*refusal{}, lapsed: map[string]lapsedLease{},
 		queues: map[string]*queueAdvice{},
 	}
 	o.seat = p.Advice.Join(func() { o.post(turnGranted{}) }, func() { o.post(turnRecalled{}) })
--- a/owner/writer.go
+++ b/owner/writer.go
@@ -95,10 +95,7 @@
 	if m.err == nil {
 		o.writer.failures = 0
 		o.noteProof(m.begun)
-		for _, id := range m.removed {
-			delete(o.jobs, id)
-			delete(o.cancelRequests, id)
-		}
+		o.noteRemoved(m)
 		for i, d := range m.docs {
 			d.rev = m.rev
 			d.stored = max(d.stored, m.versions[i])
