--- a/agent/agent.go
+++ b/agent/agent.go
@@ -232,8 +232,8 @@
 }
 
 // unreachableAfter is the time without a served call after which the store counts
-// as unreachable. Calls are frequent enough: renewals of the lease alone come four
-// times a second.
+// as unreachable. Calls are frequent enough: renewals of the lease alone come at least
+// each 0.4 s.
 const unreachableAfter = time.Second
 
 // storeUnreachable reports whether this entry can't reach the store.
--- a/elect/elect.go
+++ b/elect/elect.go
@@ -157,9 +157,10 @@
 	watchTimeout = 2 * time.Second
 	// retryDelay is the pause after a failed call to the store.
 	retryDelay = 100 * time.Millisecond
-	// renewalInterval is how often the lease is renewed: owners count the leases of workers from
-	// it.
-	renewalInterval = 250 * time.Millisecond
+	// renewalsPerTTL is how often the lease is renewed within its TTL, and maxRenewalInterval the
+	// longest time between two renewals: owners count the leases of workers from them.
+	renewalsPerTTL     = 4
+	maxRenewalInterval = 400 * time.Millisecond
 )
 
 // New returns an elector; Run starts it.
--- a/elect/lease.go
+++ b/elect/lease.go
@@ -33,7 +33,7 @@
 		go func() {
 			e.send(ctx, registered{id, e.writeEntry(ctx, id, boot)})
 		}()
-	case e.lease != 0 && !e.renewing && now.Sub(e.renewedAt) >= renewalInterval:
+	case e.lease != 0 && !e.renewing && now.Sub(e.renewedAt) >= min(e.TTL/renewalsPerTTL, maxRenewalInterval):
 		e.renewing = true
 		m := leaseRenewed{lease: e.lease, at: now, troubles: e.troubles}
 		holds, doubtful := len(e.held) > 0, e.doubtful()
--- a/owner/host.go
+++ b/owner/host.go
@@ -112,8 +112,8 @@
 	// leaseCap limits the length of a lease, also that of a start, to twice the time of an
 	// election and a takeover.
 	leaseCap = 4 * time.Second
-	// leaseHorizon is how long after an owner's evidence its leases may end: leaseCap, and the
-	// time from one renewal of the election to the next. A later owner relies on it, so that
+	// leaseHorizon is how long after an owner's evidence its leases may end: leaseCap, and most of
+	// the time from one renewal of the election to the next. A later owner relies on it, so that
 	// owners of all versions must keep to it.
 	leaseHorizon = leaseCap + 300*time.Millisecond
 	// doubtPollWait replaces pollWait while it is in doubt whether the election is in force, and
