--- a/owner/owner.go
+++ b/owner/owner.go
@@ -363,8 +363,7 @@
 		}
 	}
 	o.forgetUnanswered(now)
-	o.updateVoters()
-	o.refreshLongerLeases(now)
+	o.updateVoters(now)
 	o.retryOrders(now)
 	o.pollHosts(now)
 	o.updateDigest(now)
--- a/owner/unanswered.go
+++ b/owner/unanswered.go
@@ -123,6 +123,7 @@
 	o.forgetLateOrders(now)
 	o.forgetLapsed(now)
 	o.forgetRemoved(now)
+	o.refreshLongerLeases(now)
 	for id, list := range o.unanswered {
 		list = slices.DeleteFunc(list, func(u *unansweredStart) bool { return now.After(u.mayArriveUntil()) })
 		o.unanswered[id] = list
--- a/owner/voters.go
+++ b/owner/voters.go
@@ -40,10 +40,16 @@
 	// possible has the sets that the store may have: the one that it is known to have had, then
 	// those written since without an answer. It is empty until the former set is read.
 	possible []electorate
-	// changed tells that the workers may differ from the voters in the document.
-	changed bool
+	// changed tells that the workers may differ from the voters in the document, and updatedAt
+	// when that was last looked at.
+	changed   bool
+	updatedAt time.Time
 }
 
+// votersInterval is the shortest time between two updates of the voters: hosts move into and out of
+// large pools all the time, and any set of voters will do.
+const votersInterval = 2 * time.Second
+
 // The voters of even numbers would tie: the first one breaks the tie.
 const (
 	voterWeight = 2
@@ -164,12 +170,12 @@
 
 // updateVoters queues the voters for writing if workers were added or have ended. Until no
 // earlier owner is obeyed any more, theirs stay: a later owner counts on a majority of the same set.
-func (o *Owner) updateVoters() {
+func (o *Owner) updateVoters(now time.Time) {
 	e := &o.electorates
-	if !e.changed || o.formerOver.IsZero() {
+	if !e.changed || o.formerOver.IsZero() || now.Sub(e.updatedAt) < votersInterval {
 		return
 	}
-	e.changed = false
+	e.changed, e.updatedAt = false, now
 	if last := len(e.possible) - 1; o.voters.rev == 0 || last < 0 || !slices.Equal(e.possible[last].voters, o.answeredVoters()) {
 		o.markChanged(o.voters)
 	}
