--- a/review/stage/cases.go
+++ b/review/stage/cases.go
@@ -1,13 +1,16 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"time"
 )
 
 // cases has a function for each case, which returns what was broken, or "".
 var cases = map[string]func(*stage) (string, error){
-	"flap": playFlap,
+	"flap":   playFlap,
+	"rolled": playRolled,
+	"held":   playHeld,
 }
 
 // Of eight workers, the one with a label goes down and up by turns for 13 s, which are two
@@ -59,3 +62,80 @@
 	}
 	return fmt.Sprintf("LOST: job %s has not ended 40 s after the disruption", job), nil
 }
+
+// plain returns the labels of worker i of a pool whose workers are alike.
+func plain(i int) []string { return []string{"a", fmt.Sprintf("r%d", 1+i/4)} }
+
+// lasting is a step of subtasks that last, one or two on a worker.
+func lasting(count int) map[string]any {
+	return map[string]any{"Count": count, "Cpu": 2000, "MemMb": 1024, "LongRunning": true, "MaxPerServer": 2}
+}
+
+// One of eight workers is lost for good. Meanwhile the entries are stopped and started in turn, each
+// time the one that leads. The subtask that ran on the worker has to run elsewhere soon.
+func playRolled(s *stage) (string, error) {
+	if err := s.start(8, 3, plain); err != nil {
+		return "", err
+	}
+	const job, count = "00000000000000b1", 8
+	accepted := time.Now()
+	if err := s.submit(job, 0, lasting(count)); err != nil {
+		return "", err
+	}
+	time.Sleep(3 * time.Second)
+	if s.trouble {
+		s.workers[0].loseForGood(false)
+		time.Sleep(200 * time.Millisecond)
+		errs := make(chan error, 1)
+		go func() { errs <- s.roll(4, 1100*time.Millisecond) }()
+		broken := s.watchLasting(job, count, accepted, 20*time.Second)
+		return broken, <-errs
+	}
+	return s.watchLasting(job, count, accepted, 20*time.Second), nil
+}
+
+// roll stops and starts entries in turn, each time the one that leads the pool.
+func (s *stage) roll(times int, gap time.Duration) error {
+	for range times {
+		if e := s.owner(); e != nil {
+			if err := s.restart(e); err != nil {
+				return err
+			}
+		}
+		time.Sleep(gap)
+	}
+	return nil
+}
+
+// Of eight workers, the one that runs nothing is lost for good, silently. Half a second later a subtask
+// that lasts fails on another worker. It has to run again soon.
+func playHeld(s *stage) (string, error) {
+	if err := s.start(8, 3, plain); err != nil {
+		return "", err
+	}
+	const job, count = "00000000000000c1", 7
+	accepted := time.Now()
+	if err := s.submit(job, 0, lasting(count)); err != nil {
+		return "", err
+	}
+	time.Sleep(3 * time.Second)
+	idle, busy := -1, -1
+	for i, w := range s.workers {
+		if w.countRuns() == 0 {
+			idle = i
+		} else {
+			busy = i
+		}
+	}
+	if idle < 0 || busy < 0 {
+		return "", errNoIdle
+	}
+	if s.trouble {
+		s.workers[idle].loseForGood(true)
+		time.Sleep(500 * time.Millisecond)
+	}
+	s.workers[busy].failOne()
+	return s.watchLasting(job, count, accepted, 25*time.Second), nil
+}
+
+var errNoIdle = errors.New("the subtasks are not on seven of the eight workers")
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -11,6 +11,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -35,7 +36,7 @@
 	host      = "stage.example"
 	prefix    = "/meals/"
 	heartbeat = 1500 * time.Millisecond
-	// configPeriod is how soon a worker's first entry of a life is written.
+	// beatCheck is how soon a worker's first entry of a life is written.
 	beatCheck = 50 * time.Millisecond
 )
 
@@ -53,6 +54,7 @@
 	trouble      bool
 	begun        time.Time
 	kv           *fakes.KV
+	net          *addresses
 	workers      []*worker
 	entries      []*entry
 
@@ -64,9 +66,9 @@
 
 // entry is one process of the program.
 type entry struct {
-	name, callers, readiness, file, log string
-	proc                                *exec.Cmd
-	done                                chan struct{}
+	name, callers, readiness, metrics, file, log string
+	proc                                         *exec.Cmd
+	done                                         chan struct{}
 }
 
 func main() { os.Exit(realMain(os.Args[1:])) }
@@ -95,6 +97,10 @@
 		dir: *dir, program: *program, trouble: *trouble, begun: time.Now(), kv: fakes.NewKV(), record: out,
 		tasks: map[string]*task{}, work: map[string]time.Duration{},
 	}
+	if s.net, err = newAddresses(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitNotRun
+	}
 	defer s.close()
 	broken, err := play(s)
 	if err != nil {
@@ -166,18 +172,36 @@
 	return n
 }
 
-// freeAddress returns a loopback address that is free.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// addresses hands out addresses of a loopback network, of which no outgoing connection takes one.
+type addresses struct {
+	prefix string
+	hold   net.Listener // keeps other stages off the network
+	port   int
+}
+
+// firstPort is the first port that is handed out.
+const firstPort = 20000
+
+func newAddresses() (*addresses, error) {
+	for range 100 {
+		prefix := fmt.Sprintf("127.%d.%d.", 1+rand.IntN(254), rand.IntN(255))
+		if l, err := net.Listen("tcp", prefix+"254:7000"); err == nil {
+			return &addresses{prefix, l, firstPort}, nil
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return nil, errNoNetwork
 }
 
-func serve(h http.Handler) (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+var errNoNetwork = errors.New("no loopback network is free")
+
+// next returns an address that was not handed out before.
+func (a *addresses) next() string {
+	a.port++
+	return fmt.Sprintf("%s1:%d", a.prefix, a.port)
+}
+
+func (s *stage) serve(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", s.net.next())
 	if err != nil {
 		return "", err
 	}
@@ -188,11 +212,11 @@
 // start starts the platform, workers and entries, and waits until these are ready.
 func (s *stage) start(workers, entries int, labels func(i int) []string) error {
 	platform := site.New(s.kv, fakes.NewWorkerSet(maxLease), site.Machines{}, site.Twists{})
-	store, err := serve(platform.StoreHandler())
+	store, err := s.serve(platform.StoreHandler())
 	if err != nil {
 		return err
 	}
-	fleet, err := serve(http.HandlerFunc(s.machines))
+	fleet, err := s.serve(http.HandlerFunc(s.machines))
 	if err != nil {
 		return err
 	}
@@ -207,7 +231,7 @@
 	s.kv.Put("op/config", config)
 	for i := range workers {
 		w := &worker{
-			id: fmt.Sprintf("i-%04d", i), pool: pool, address: "127.0.0.1:0", machine: fmt.Sprintf("m-%04d", i), labels: labels(i), stage: s,
+			id: fmt.Sprintf("i-%04d", i), pool: pool, address: s.net.next(), machine: fmt.Sprintf("m-%04d", i), labels: labels(i), stage: s,
 		}
 		if err := w.up(); err != nil {
 			return err
@@ -240,14 +264,14 @@
 	for sequence := int64(1); ; sequence++ {
 		for _, w := range s.workers {
 			w.mu.Lock()
-			up, born, drain := w.server != nil, w.born, w.drain
+			up, born, drain := w.isUp(), w.born, w.drain
 			w.mu.Unlock()
 			e, known := written[w]
 			switch {
 			case up && (!known || e.born != born || e.drain != drain || time.Since(e.at) >= heartbeat):
 				s.kv.Put("servers/"+w.id, w.registration(sequence))
 				written[w] = entry{born, time.Now(), drain}
-			case !up && known && (w.isGone() || time.Since(e.at) > 3*heartbeat):
+			case !up && known && time.Since(e.at) > 3*heartbeat:
 				s.kv.Delete("servers/" + w.id)
 				delete(written, w)
 				s.note("entry of worker %s removed", w.id)
@@ -257,12 +281,6 @@
 	}
 }
 
-func (w *worker) isGone() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.gone && w.drain
-}
-
 // machines serves the list of machines; the cases have no orders for them.
 func (s *stage) machines(rw http.ResponseWriter, r *http.Request) {
 	if r.Method != http.MethodGet {
@@ -273,7 +291,7 @@
 	for _, w := range s.workers {
 		w.mu.Lock()
 		state, id := "up", w.id
-		if w.server == nil {
+		if !w.isUp() {
 			state, id = "down", ""
 		}
 		list = append(list, map[string]any{
@@ -286,14 +304,7 @@
 }
 
 func (s *stage) addEntry(i int, store, fleet string) error {
-	e := &entry{name: fmt.Sprintf("edge-suva-%d", i+1)}
-	var err error
-	if e.callers, err = freeAddress(); err != nil {
-		return err
-	}
-	if e.readiness, err = freeAddress(); err != nil {
-		return err
-	}
+	e := &entry{name: fmt.Sprintf("edge-suva-%d", i+1), callers: s.net.next(), readiness: s.net.next(), metrics: s.net.next()}
 	e.file, e.log = filepath.Join(s.dir, e.name+".conf"), filepath.Join(s.dir, e.name+".log")
 	settings := []string{
 		"NodeName=" + e.name, "Ip=127.0.0.1", "Zone=suva", "Region=viti", "ListenAddrs.Frontend=" + e.callers, "ListenAddrs.Readiness=" + e.readiness,
@@ -317,11 +328,7 @@
 		return err
 	}
 	defer out.Close()
-	metrics, err := freeAddress()
-	if err != nil {
-		return err
-	}
-	e.proc = exec.Command(s.program, "node", "-metrics", metrics)
+	e.proc = exec.Command(s.program, "node", "-metrics", e.metrics)
 	e.proc.Env = append(os.Environ(), "SHALLOTPADDLE_SETTINGS="+e.file)
 	e.proc.Stdout, e.proc.Stderr = out, out
 	if err := e.proc.Start(); err != nil {
@@ -440,6 +447,57 @@
 	return nil
 }
 
+// absent returns the first subtask of a job that lasts which nothing runs, and for how long that has
+// been so, or has been so since the job was accepted.
+func (s *stage) absent(job string, count int, accepted time.Time) (string, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	name, longest := "", time.Duration(0)
+	for i := range count {
+		id := fmt.Sprintf("%s.0.0.%d", job, i)
+		t := s.taskOf(id)
+		since := t.endedAt
+		if since.IsZero() {
+			since = accepted
+		}
+		if d := time.Since(since); t.active == 0 && d > longest {
+			name, longest = id, d
+		}
+	}
+	return name, longest
+}
+
+// lastingLimit is how long a subtask that lasts may have no run: 6 s after its last one, and 3 s.
+const lastingLimit = 9 * time.Second
+
+// watchLasting returns what was broken for a job that lasts within a time, or "".
+func (s *stage) watchLasting(job string, count int, accepted time.Time, within time.Duration) string {
+	for limit := time.Now().Add(within); time.Now().Before(limit); time.Sleep(50 * time.Millisecond) {
+		if name, d := s.absent(job, count, accepted); d > lastingLimit {
+			s.noteReturn(job, count, accepted)
+			return fmt.Sprintf("LOST: %s lasts and has had no run for %.1f s, with most of the workers' room free", name, d.Seconds())
+		}
+	}
+	return ""
+}
+
+// noteReturn notes when all subtasks that last run again, or for how long one has had no run by then.
+func (s *stage) noteReturn(job string, count int, accepted time.Time) {
+	var longest time.Duration
+	for limit := time.Now().Add(returnLimit); time.Now().Before(limit); time.Sleep(20 * time.Millisecond) {
+		_, d := s.absent(job, count, accepted)
+		if d == 0 {
+			s.note("all subtasks of %s run again; one had no run for %.1f s", job, longest.Seconds())
+			return
+		}
+		longest = max(longest, d)
+	}
+	s.note("a subtask of %s has had no run for %.1f s", job, longest.Seconds())
+}
+
+// returnLimit is for how long a broken rule is watched.
+const returnLimit = 15 * time.Second
+
 // close ends the entries' processes.
 func (s *stage) close() {
 	for _, e := range s.entries {
--- a/review/stage/worker.go
+++ b/review/stage/worker.go
@@ -42,6 +42,7 @@
 	mu      sync.Mutex
 	server  *http.Server // nil while it is down
 	gone    bool         // for good
+	dark    bool         // answers nothing, and has no power
 	drain   bool
 	born    time.Time
 	fence   int64
@@ -88,22 +89,39 @@
 		return
 	}
 	w.server = nil
+	w.loseRuns()
+	w.stage.note("worker %s down: %s", w.id, why)
+	w.mu.Unlock()
+	_ = s.Close()
+}
+
+// loseForGood ends the worker and its machine: silently, or with its connections reset.
+func (w *worker) loseForGood(silent bool) {
+	w.mu.Lock()
+	w.gone = true
+	if silent {
+		w.dark = true
+		w.loseRuns()
+		w.stage.note("worker %s is lost for good, silently", w.id)
+		w.mu.Unlock()
+		return
+	}
+	w.mu.Unlock()
+	w.down("lost for good")
+}
+
+// loseRuns ends what runs without a report; mu is held.
+func (w *worker) loseRuns() {
 	for _, r := range w.running {
 		r.timer.Stop()
 		w.stage.note("run lost %s run %d on %s after %d ms", r.task, r.number, w.id, time.Since(r.started).Milliseconds())
 		w.stage.runEnded(r.task, "lost")
 	}
 	w.running = map[string]*run{}
-	w.stage.note("worker %s down: %s", w.id, why)
-	w.mu.Unlock()
-	_ = s.Close()
 }
 
-func (w *worker) isUp() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.server != nil
-}
+// isUp reports whether the worker is at work; mu is held.
+func (w *worker) isUp() bool { return w.server != nil && !w.dark }
 
 // clock returns the worker's clock in milliseconds.
 func (w *worker) clock() int64 { return time.Since(w.born).Milliseconds() }
@@ -125,6 +143,11 @@
 		return
 	}
 	w.mu.Lock()
+	if w.dark {
+		w.mu.Unlock()
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	if w.server == nil || w.born != life {
 		w.mu.Unlock()
 		panic(http.ErrAbortHandler) // this life is over
@@ -161,7 +184,7 @@
 	w.expiry = time.AfterFunc(time.Until(at), func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		if w.server == nil || w.born != life || time.Now().Before(w.lease) {
+		if !w.isUp() || w.born != life || time.Now().Before(w.lease) {
 			return
 		}
 		for _, r := range w.running {
@@ -220,6 +243,22 @@
 	w.changed = make(chan struct{})
 }
 
+func (w *worker) countRuns() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.running)
+}
+
+// failOne ends a run as failed, by the subtask's own fault.
+func (w *worker) failOne() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, r := range w.running {
+		w.end(r, "failed")
+		return
+	}
+}
+
 // stop ends a run after stopTime, and bars it; mu is held.
 func (w *worker) stop(o order) (int, map[string]any) {
 	w.stale[o.Task] = max(w.stale[o.Task], o.Run)
@@ -258,6 +297,11 @@
 				waiting = false
 			}
 			w.mu.Lock()
+			if w.dark {
+				w.mu.Unlock()
+				<-r.Context().Done()
+				panic(http.ErrAbortHandler)
+			}
 			if w.server == nil || w.born != life {
 				w.mu.Unlock()
 				panic(http.ErrAbortHandler)
