--- a/review/stage/cases.go
+++ b/review/stage/cases.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -11,6 +12,7 @@
 	"flap":   playFlap,
 	"rolled": playRolled,
 	"held":   playHeld,
+	"rack":   playRack,
 }
 
 // Of eight workers, the one with a label goes down and up by turns for 13 s, which are two
@@ -139,3 +141,32 @@
 }
 
 var errNoIdle = errors.New("the subtasks are not on seven of the eight workers")
+
+// A rack is lost for good, with four of the eight workers and the entry that leads the pool. The subtasks
+// that ran there and last have to run on the other four workers soon.
+func playRack(s *stage) (string, error) {
+	if err := s.start(8, 3, plain); err != nil {
+		return "", err
+	}
+	const job, count = "00000000000000d1", 8
+	accepted := time.Now()
+	if err := s.submit(job, 0, lasting(count)); err != nil {
+		return "", err
+	}
+	time.Sleep(5 * time.Second)
+	if s.trouble {
+		e := s.owner()
+		if e == nil {
+			return "", errNoLeader
+		}
+		s.note("SIGKILL to %s, for good", e.name)
+		_ = e.proc.Process.Kill() // it may have ended
+		for _, w := range s.workers[:4] {
+			w.loseForGood(true)
+		}
+		s.entries = slices.DeleteFunc(s.entries, func(v *entry) bool { return v == e })
+	}
+	return s.watchLasting(job, count, accepted, 40*time.Second), nil
+}
+
+var errNoLeader = errors.New("the pool has no leader")
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -496,7 +496,7 @@
 }
 
 // returnLimit is for how long a broken rule is watched.
-const returnLimit = 15 * time.Second
+const returnLimit = 30 * time.Second
 
 // close ends the entries' processes.
 func (s *stage) close() {
