--- a/review/stage/cases.go
+++ b/review/stage/cases.go
@@ -1,8 +1,11 @@
 package main
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
+	"net/http"
 	"slices"
 	"time"
 )
@@ -13,6 +16,7 @@
 	"rolled": playRolled,
 	"held":   playHeld,
 	"rack":   playRack,
+	"barred": playBarred,
 }
 
 // Of eight workers, the one with a label goes down and up by turns for 13 s, which are two
@@ -170,3 +174,68 @@
 }
 
 var errNoLeader = errors.New("the pool has no leader")
+
+// A job whose hand-in breaks off is cancelled, which is answered 410. Then the store turns the entry
+// that answered away for a second, with its leases. The hand-in that arrives again after that, at
+// another entry, must not run.
+func playBarred(s *stage) (string, error) {
+	if err := s.start(8, 3, plain); err != nil {
+		return "", err
+	}
+	leader := s.owner()
+	if leader == nil {
+		return "", errNoLeader
+	}
+	others := slices.DeleteFunc(slices.Clone(s.entries), func(v *entry) bool { return v == leader })
+	const job = "00000000000000e1"
+	s.mu.Lock()
+	s.work[job] = time.Second
+	s.mu.Unlock()
+	body, _ := json.Marshal(map[string]any{"Spec": "late", "Steps": []any{map[string]any{"Count": 1, "Cpu": 1000, "MemMb": 512, "EstimateMs": 1000}}})
+	if err := breakOff(others[1], job, body); err != nil {
+		return "", err
+	}
+	s.note("POST %s at %s: the channel breaks before the whole request has arrived", job, others[1].name)
+	status, _ := callAt(others[0], http.MethodDelete, job, nil)
+	cancelled := time.Now()
+	s.note("DELETE %s at %s answered %d", job, others[0].name, status)
+	if status != http.StatusGone && status != http.StatusOK {
+		return "", errNotCancelled
+	}
+	time.Sleep(300 * time.Millisecond)
+	if s.trouble {
+		s.note("the store turns %s away, with its leases", others[0].name)
+		others[0].store.turnAway(time.Second)
+		s.note("the store serves %s again", others[0].name)
+	}
+	time.Sleep(time.Until(cancelled.Add(contact + 2*time.Second)))
+	status, _ = callAt(others[1], http.MethodPost, job, body)
+	s.note("POST %s at %s answered %d", job, others[1].name, status)
+	time.Sleep(3 * time.Second)
+	s.mu.Lock()
+	n := s.taskOf(job + ".0.0.0").runs
+	s.mu.Unlock()
+	if n > 0 {
+		return fmt.Sprintf("UNASKED: a subtask of %s started more than %s after its cancelling was acknowledged", job, cancelTime), nil
+	}
+	return "", nil
+}
+
+const (
+	contact    = 3 * time.Second // ContactMs
+	cancelTime = 3 * time.Second // cancel_ms
+)
+
+var errNotCancelled = errors.New("the cancellation was not acknowledged")
+
+// breakOff hands a job in and closes the channel before the whole request has arrived.
+func breakOff(e *entry, id string, body []byte) error {
+	c, err := net.Dial("tcp", e.callers)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	_, err = fmt.Fprintf(c, "POST %s%s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
+		prefix, id, host, len(body), body[:len(body)/2])
+	return err
+}
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -5,6 +5,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -67,6 +68,7 @@
 // entry is one process of the program.
 type entry struct {
 	name, callers, readiness, metrics, file, log string
+	store                                        *front
 	proc                                         *exec.Cmd
 	done                                         chan struct{}
 }
@@ -212,10 +214,6 @@
 // start starts the platform, workers and entries, and waits until these are ready.
 func (s *stage) start(workers, entries int, labels func(i int) []string) error {
 	platform := site.New(s.kv, fakes.NewWorkerSet(maxLease), site.Machines{}, site.Twists{})
-	store, err := s.serve(platform.StoreHandler())
-	if err != nil {
-		return err
-	}
 	fleet, err := s.serve(http.HandlerFunc(s.machines))
 	if err != nil {
 		return err
@@ -240,7 +238,7 @@
 	}
 	go s.beat()
 	for i := range entries {
-		if err := s.addEntry(i, store, fleet); err != nil {
+		if err := s.addEntry(i, platform.StoreHandler(), fleet); err != nil {
 			return err
 		}
 	}
@@ -303,8 +301,13 @@
 	answer(rw, http.StatusOK, map[string]any{"Machines": list})
 }
 
-func (s *stage) addEntry(i int, store, fleet string) error {
+func (s *stage) addEntry(i int, storeHandler http.Handler, fleet string) error {
 	e := &entry{name: fmt.Sprintf("edge-suva-%d", i+1), callers: s.net.next(), readiness: s.net.next(), metrics: s.net.next()}
+	e.store = newFront(storeHandler, s.kv)
+	store, err := s.serve(e.store)
+	if err != nil {
+		return err
+	}
 	e.file, e.log = filepath.Join(s.dir, e.name+".conf"), filepath.Join(s.dir, e.name+".log")
 	settings := []string{
 		"NodeName=" + e.name, "Ip=127.0.0.1", "Zone=suva", "Region=viti", "ListenAddrs.Frontend=" + e.callers, "ListenAddrs.Readiness=" + e.readiness,
@@ -382,24 +385,9 @@
 	b, _ := json.Marshal(body) // encoding plain values can't fail
 	for range 50 {
 		for _, e := range s.entries {
-			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-			req, err := http.NewRequestWithContext(ctx, method, "http://"+e.callers+prefix+id, strings.NewReader(string(b)))
-			if err != nil {
-				cancel()
-				return 0, ""
-			}
-			req.Host = host
-			req.Header.Set("X-Deadline-Ms", "3000")
-			res, err := http.DefaultClient.Do(req)
-			if err != nil {
-				cancel()
-				continue
-			}
-			text, _ := io.ReadAll(res.Body)
-			_ = res.Body.Close()
-			cancel()
-			if res.StatusCode == http.StatusOK || res.StatusCode == http.StatusGone {
-				return res.StatusCode, string(text)
+			status, text := callAt(e, method, id, b)
+			if status == http.StatusOK || status == http.StatusGone {
+				return status, text
 			}
 		}
 		time.Sleep(100 * time.Millisecond)
@@ -407,6 +395,28 @@
 	return 0, ""
 }
 
+// callAt sends a caller's request to one entry. It returns 0 if there is no answer.
+func callAt(e *entry, method, id string, body []byte) (int, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+e.callers+prefix+id, bytes.NewReader(body))
+	if err != nil {
+		return 0, ""
+	}
+	req.Host = host
+	req.Header.Set("X-Deadline-Ms", "3000")
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer res.Body.Close()
+	text, err := io.ReadAll(res.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return res.StatusCode, string(text)
+}
+
 // submit hands a job in; work is the time of each subtask, 0 if they last.
 func (s *stage) submit(id string, work time.Duration, steps ...map[string]any) error {
 	s.mu.Lock()
