--- a/review/stage/cases.go
+++ b/review/stage/cases.go
@@ -17,6 +17,7 @@
 	"held":   playHeld,
 	"rack":   playRack,
 	"barred": playBarred,
+	"late":   playLate,
 }
 
 // Of eight workers, the one with a label goes down and up by turns for 13 s, which are two
@@ -239,3 +240,49 @@
 		prefix, id, host, len(body), body[:len(body)/2])
 	return err
 }
+
+// One of eight workers is dark for 7.3 s and comes back under its ID. A job is handed in just after
+// that began, and the entry that leads the pool is stopped and started again. No subtask may have two
+// runs at the same time.
+func playLate(s *stage) (string, error) {
+	if err := s.start(8, 3, plain); err != nil {
+		return "", err
+	}
+	const job = "00000000000000f1"
+	leader := s.owner()
+	if leader == nil {
+		return "", errNoLeader
+	}
+	dark := time.Now()
+	if s.trouble {
+		s.workers[0].goDark()
+	}
+	time.Sleep(200 * time.Millisecond)
+	step := map[string]any{"Count": 8, "Cpu": 16000, "MemMb": 1024, "EstimateMs": 12000}
+	if err := s.submit(job, 12*time.Second, step); err != nil {
+		return "", err
+	}
+	time.Sleep(400 * time.Millisecond)
+	if s.trouble {
+		if err := s.restart(leader); err != nil {
+			return "", err
+		}
+		time.Sleep(time.Until(dark.Add(7300 * time.Millisecond)))
+		if err := s.workers[0].comeBack(); err != nil {
+			return "", err
+		}
+	}
+	for limit := time.Now().Add(60 * time.Second); time.Now().Before(limit); time.Sleep(200 * time.Millisecond) {
+		s.mu.Lock()
+		twice := s.twice
+		s.mu.Unlock()
+		if twice != "" {
+			time.Sleep(2 * time.Second) // for the record
+			return twice, nil
+		}
+		if s.state(job) == "completed" {
+			return "", nil
+		}
+	}
+	return fmt.Sprintf("LOST: job %s has not ended in time", job), nil
+}
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -62,6 +62,7 @@
 	mu     sync.Mutex
 	record io.Writer
 	tasks  map[string]*task
+	twice  string                   // the first subtask that had two runs at the same time
 	work   map[string]time.Duration // by job ID; 0 for one that lasts
 }
 
@@ -149,7 +150,9 @@
 	defer s.mu.Unlock()
 	t := s.taskOf(name)
 	t.runs++
-	t.active++
+	if t.active++; t.active > 1 && s.twice == "" {
+		s.twice = fmt.Sprintf("TWICE: %s has %d runs at the same time, on workers that are up", name, t.active)
+	}
 }
 
 func (s *stage) runEnded(name, how string) {
--- a/review/stage/worker.go
+++ b/review/stage/worker.go
@@ -39,10 +39,13 @@
 	labels                     []string
 	stage                      *stage
 
-	mu      sync.Mutex
-	server  *http.Server // nil while it is down
-	gone    bool         // for good
-	dark    bool         // answers nothing, and has no power
+	mu     sync.Mutex
+	server *http.Server // nil while it is down
+	gone   bool         // for good
+	dark   bool         // answers nothing
+	// held has the orders that arrived while the worker was dark. Its next life carries them out, as an
+	// order without an answer may be carried out seconds later.
+	held    []heldOrder
 	drain   bool
 	born    time.Time
 	fence   int64
@@ -110,6 +113,49 @@
 	w.down("lost for good")
 }
 
+// goDark makes the worker silent: what runs there is lost.
+func (w *worker) goDark() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.dark = true
+	w.loseRuns()
+	w.stage.note("worker %s goes dark", w.id)
+}
+
+// comeBack begins the next life of a worker that was dark. It carries out the orders that arrived
+// meanwhile, in their order.
+func (w *worker) comeBack() error {
+	w.mu.Lock()
+	s, held := w.server, w.held
+	w.server, w.held = nil, nil
+	w.mu.Unlock()
+	_ = s.Close()
+	if err := w.up(); err != nil {
+		return err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.dark = false
+	for _, h := range held {
+		if h.order.FencingToken < w.fence {
+			continue
+		}
+		w.fence = h.order.FencingToken
+		switch h.path {
+		case "/-/run-start":
+			w.stage.note("worker %s carries out late: start %s run %d, token %d", w.id, h.order.Task, h.order.Run, h.order.FencingToken)
+			w.start(h.order)
+		case "/-/run-stop":
+			w.stop(h.order)
+		case "/-/hold":
+			if h.order.UntilMs > w.clock() {
+				w.extend(h.order.UntilMs)
+			}
+		}
+	}
+	return nil
+}
+
 // loseRuns ends what runs without a report; mu is held.
 func (w *worker) loseRuns() {
 	for _, r := range w.running {
@@ -135,6 +181,12 @@
 	Checkpoint, Ticket, Who string
 }
 
+// heldOrder is an order that got no answer.
+type heldOrder struct {
+	path  string
+	order order
+}
+
 // serve answers one order of a life of the worker.
 func (w *worker) serve(rw http.ResponseWriter, r *http.Request, life time.Time, carryOut func(order) (int, map[string]any)) {
 	var o order
@@ -144,6 +196,8 @@
 	}
 	w.mu.Lock()
 	if w.dark {
+		w.held = append(w.held, heldOrder{r.URL.Path, o})
+		w.stage.note("worker %s is dark: order %s %s run %d, token %d, gets no answer", w.id, r.URL.Path, o.Task, o.Run, o.FencingToken)
 		w.mu.Unlock()
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
