--- a/review/stage/front.go
+++ b/review/stage/front.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +19,7 @@
 
 	mu     sync.Mutex
 	away   bool
+	silent bool          // calls while away, and those that wait, get no answer instead of a 503
 	cut    chan struct{} // closed when the entry is turned away
 	leases []int64       // that were granted to the entry
 }
@@ -26,15 +28,23 @@
 	return &front{next: next, kv: kv, cut: make(chan struct{})}
 }
 
+// answerTime is added to the 2 ms of fakes.KV: the users' store takes 4 ms an answer.
+const answerTime = 2 * time.Millisecond
+
 // ServeHTTP serves one call of the entry. Calls that wait are cut when the entry is turned away.
 func (f *front) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	f.mu.Lock()
-	away, cut := f.away, f.cut
+	away, silent, cut := f.away, f.silent, f.cut
 	f.mu.Unlock()
-	if away {
+	switch {
+	case away && silent:
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	case away:
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	time.Sleep(answerTime)
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	go func() {
@@ -45,7 +55,7 @@
 		}
 	}()
 	if r.URL.Path != "/-/kv-lease" {
-		f.next.ServeHTTP(rw, r.WithContext(ctx))
+		f.serveUncut(rw, r, ctx)
 		return
 	}
 	copied := &copier{ResponseWriter: rw}
@@ -58,6 +68,23 @@
 	}
 }
 
+// serveUncut serves a call. If it was cut and the store is silent, it gets no answer, while its channel
+// stays open.
+func (f *front) serveUncut(rw http.ResponseWriter, r *http.Request, ctx context.Context) {
+	defer func() {
+		if v := recover(); v != nil {
+			f.mu.Lock()
+			silent := f.silent
+			f.mu.Unlock()
+			if silent {
+				<-r.Context().Done()
+			}
+			panic(v)
+		}
+	}()
+	f.next.ServeHTTP(rw, r.WithContext(ctx))
+}
+
 // copier keeps a copy of a response's body.
 type copier struct {
 	http.ResponseWriter
@@ -71,9 +98,9 @@
 }
 
 // turnAway rejects the entry's calls for a time, and takes away the keys of its leases at once.
-func (f *front) turnAway(d time.Duration) {
+func (f *front) turnAway(d time.Duration, silent bool) {
 	f.mu.Lock()
-	f.away = true
+	f.away, f.silent = true, silent
 	close(f.cut)
 	leases := f.leases
 	f.leases = nil
@@ -86,3 +113,37 @@
 	f.away, f.cut = false, make(chan struct{})
 	f.mu.Unlock()
 }
+
+// dropKeys gives the entry no answer for a time, and takes away the keys of its leases at once, while
+// the leases last.
+func (f *front) dropKeys(d time.Duration) {
+	f.mu.Lock()
+	leases := append([]int64(nil), f.leases...)
+	f.away, f.silent = true, true
+	close(f.cut)
+	f.mu.Unlock()
+	time.Sleep(10 * time.Millisecond) // calls that wait end before
+	for _, prefix := range []string{"seat/lead/", "seat/node/"} {
+		items, _, err := f.kv.List(context.Background(), prefix)
+		if err != nil {
+			continue
+		}
+		for _, it := range items {
+			if f.holds(it.Value, leases) {
+				f.kv.Delete(it.Key)
+			}
+		}
+	}
+	time.Sleep(d)
+	f.mu.Lock()
+	f.away, f.cut = false, make(chan struct{})
+	f.mu.Unlock()
+}
+
+// holds reports whether a leader's key names one of the leases.
+func (f *front) holds(value []byte, leases []int64) bool {
+	var v struct {
+		Lease int64 `json:"lease"`
+	}
+	return json.Unmarshal(value, &v) == nil && slices.Contains(leases, v.Lease)
+}
