--- a/review/stage/front.go
+++ b/review/stage/front.go
@@ -55,7 +55,7 @@
 		}
 	}()
 	if r.URL.Path != "/-/kv-lease" {
-		f.serveUncut(rw, r, ctx)
+		f.serveUncut(ctx, rw, r)
 		return
 	}
 	copied := &copier{ResponseWriter: rw}
@@ -70,7 +70,7 @@
 
 // serveUncut serves a call. If it was cut and the store is silent, it gets no answer, while its channel
 // stays open.
-func (f *front) serveUncut(rw http.ResponseWriter, r *http.Request, ctx context.Context) {
+func (f *front) serveUncut(ctx context.Context, rw http.ResponseWriter, r *http.Request) {
 	defer func() {
 		if v := recover(); v != nil {
 			f.mu.Lock()
