--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -18,6 +18,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -58,6 +59,9 @@
 	net          *addresses
 	workers      []*worker
 	entries      []*entry
+	// starts has the starts of processes. One thread makes them, which lasts as long as the stage: the
+	// kernel ends the processes with it, however the stage ends.
+	starts chan func()
 
 	mu     sync.Mutex
 	record io.Writer
@@ -98,8 +102,14 @@
 	defer out.Close()
 	s := &stage{
 		dir: *dir, program: *program, trouble: *trouble, begun: time.Now(), kv: fakes.NewKV(), record: out,
-		tasks: map[string]*task{}, work: map[string]time.Duration{},
+		tasks: map[string]*task{}, work: map[string]time.Duration{}, starts: make(chan func()),
 	}
+	go func() {
+		runtime.LockOSThread()
+		for f := range s.starts {
+			f()
+		}
+	}()
 	if s.net, err = newAddresses(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
@@ -337,7 +347,10 @@
 	e.proc = exec.Command(s.program, "node", "-metrics", e.metrics)
 	e.proc.Env = append(os.Environ(), "SHALLOTPADDLE_SETTINGS="+e.file)
 	e.proc.Stdout, e.proc.Stderr = out, out
-	if err := e.proc.Start(); err != nil {
+	e.proc.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started := make(chan error)
+	s.starts <- func() { started <- e.proc.Start() }
+	if err := <-started; err != nil {
 		return err
 	}
 	e.done = make(chan struct{})
