--- a/review/stage/cases.go
+++ b/review/stage/cases.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 )
 
@@ -19,7 +18,6 @@
 	"rack":   playRack,
 	"barred": playBarred,
 	"late":   playLate,
-	"brief":  playBrief,
 }
 
 // Of eight workers, the one with a label goes down and up by turns for 13 s, which are two
@@ -208,7 +206,7 @@
 	time.Sleep(300 * time.Millisecond)
 	if s.trouble {
 		s.note("the store turns %s away, with its leases", others[0].name)
-		others[0].store.turnAway(time.Second, false)
+		others[0].store.turnAway(time.Second)
 		s.note("the store serves %s again", others[0].name)
 	}
 	time.Sleep(time.Until(cancelled.Add(contact + 2*time.Second)))
@@ -286,48 +284,6 @@
 	return fmt.Sprintf("LOST: job %s has not ended in time", job), nil
 }
 
-// Jobs are handed in twenty times a second. Meanwhile the store gives the entry that leads no answer for
-// 0.2 s, and takes away the keys of its leases, several times. No subtask may have two runs at the same
-// time.
-func playBrief(s *stage) (string, error) {
-	if err := s.start(8, 3, plain); err != nil {
-		return "", err
-	}
-	for i, w := range s.workers {
-		w.way = 400 * time.Microsecond // in the zone of the entries
-		if i < 4 {
-			w.way = 2200 * time.Microsecond // in another zone
-		}
-	}
-	const spells, gap, pause = 23, 4 * time.Second, 50 * time.Millisecond
-	if s.trouble {
-		go func() {
-			for range spells {
-				time.Sleep(gap)
-				if e := s.owner(); e != nil {
-					s.note("the store gives %s no answer for 0.2 s, and takes away its leases' keys", e.name)
-					e.store.dropKeys(200 * time.Millisecond)
-				}
-			}
-		}()
-	}
-	var wait sync.WaitGroup
-	number := int(spells * (gap + 200*time.Millisecond) / pause)
-	for i := range number {
-		if s.firstTwice() != "" {
-			break
-		}
-		wait.Go(func() {
-			step := map[string]any{"Count": 2, "Cpu": 1800, "MemMb": 512, "EstimateMs": 3000}
-			_ = s.submit(fmt.Sprintf("%016x", 0xab0000+i), 3*time.Second, step) // the answer is in the record
-		})
-		time.Sleep(pause)
-	}
-	wait.Wait()
-	time.Sleep(5 * time.Second)
-	return s.firstTwice(), nil
-}
-
 // firstTwice returns the first subtask that had two runs at the same time, or "".
 func (s *stage) firstTwice() string {
 	s.mu.Lock()
--- a/review/stage/front.go
+++ b/review/stage/front.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -19,7 +18,6 @@
 
 	mu     sync.Mutex
 	away   bool
-	silent bool          // calls while away, and those that wait, get no answer instead of a 503
 	cut    chan struct{} // closed when the entry is turned away
 	leases []int64       // that were granted to the entry
 }
@@ -34,13 +32,9 @@
 // ServeHTTP serves one call of the entry. Calls that wait are cut when the entry is turned away.
 func (f *front) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	f.mu.Lock()
-	away, silent, cut := f.away, f.silent, f.cut
+	away, cut := f.away, f.cut
 	f.mu.Unlock()
-	switch {
-	case away && silent:
-		<-r.Context().Done()
-		panic(http.ErrAbortHandler)
-	case away:
+	if away {
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -55,7 +49,7 @@
 		}
 	}()
 	if r.URL.Path != "/-/kv-lease" {
-		f.serveUncut(ctx, rw, r)
+		f.next.ServeHTTP(rw, r.WithContext(ctx))
 		return
 	}
 	copied := &copier{ResponseWriter: rw}
@@ -68,23 +62,6 @@
 	}
 }
 
-// serveUncut serves a call. If it was cut and the store is silent, it gets no answer, while its channel
-// stays open.
-func (f *front) serveUncut(ctx context.Context, rw http.ResponseWriter, r *http.Request) {
-	defer func() {
-		if v := recover(); v != nil {
-			f.mu.Lock()
-			silent := f.silent
-			f.mu.Unlock()
-			if silent {
-				<-r.Context().Done()
-			}
-			panic(v)
-		}
-	}()
-	f.next.ServeHTTP(rw, r.WithContext(ctx))
-}
-
 // copier keeps a copy of a response's body.
 type copier struct {
 	http.ResponseWriter
@@ -98,9 +75,9 @@
 }
 
 // turnAway rejects the entry's calls for a time, and takes away the keys of its leases at once.
-func (f *front) turnAway(d time.Duration, silent bool) {
+func (f *front) turnAway(d time.Duration) {
 	f.mu.Lock()
-	f.away, f.silent = true, silent
+	f.away = true
 	close(f.cut)
 	leases := f.leases
 	f.leases = nil
@@ -113,37 +90,3 @@
 	f.away, f.cut = false, make(chan struct{})
 	f.mu.Unlock()
 }
-
-// dropKeys gives the entry no answer for a time, and takes away the keys of its leases at once, while
-// the leases last.
-func (f *front) dropKeys(d time.Duration) {
-	f.mu.Lock()
-	leases := append([]int64(nil), f.leases...)
-	f.away, f.silent = true, true
-	close(f.cut)
-	f.mu.Unlock()
-	time.Sleep(10 * time.Millisecond) // calls that wait end before
-	for _, prefix := range []string{"seat/lead/", "seat/node/"} {
-		items, _, err := f.kv.List(context.Background(), prefix)
-		if err != nil {
-			continue
-		}
-		for _, it := range items {
-			if f.holds(it.Value, leases) {
-				f.kv.Delete(it.Key)
-			}
-		}
-	}
-	time.Sleep(d)
-	f.mu.Lock()
-	f.away, f.cut = false, make(chan struct{})
-	f.mu.Unlock()
-}
-
-// holds reports whether a leader's key names one of the leases.
-func (f *front) holds(value []byte, leases []int64) bool {
-	var v struct {
-		Lease int64 `json:"lease"`
-	}
-	return json.Unmarshal(value, &v) == nil && slices.Contains(leases, v.Lease)
-}
--- a/review/stage/worker.go
+++ b/review/stage/worker.go
@@ -40,10 +40,9 @@
 	stage                      *stage
 
 	mu     sync.Mutex
-	server *http.Server  // nil while it is down
-	way    time.Duration // of a call to the worker and back
-	gone   bool          // for good
-	dark   bool          // answers nothing
+	server *http.Server // nil while it is down
+	gone   bool         // for good
+	dark   bool         // answers nothing
 	// held has the orders that arrived while the worker was dark. Its next life carries them out, as an
 	// order without an answer may be carried out seconds later.
 	held    []heldOrder
@@ -195,7 +194,6 @@
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	time.Sleep(w.way)
 	w.mu.Lock()
 	if w.dark {
 		w.held = append(w.held, heldOrder{r.URL.Path, o})
