--- a/owner/act.go
+++ b/owner/act.go
@@ -263,7 +263,7 @@
 		o.Stats.Wait.Update((now.UnixMilli() - j.progress.Job.Accepted) * 1000)
 	}
 	line.Str("job", j.id()).Str("task", t.ID.String()).Int("run", run).Str("host", h.id).
-		Int64("born", h.startedMs).Int("freeCpu", h.worker.Capacity.CPU-h.used.CPU).Int64("ageMs", now.UnixMilli()-j.progress.Job.Accepted).
+		Int64("born", h.startedMs).Dur("sinceAnswer", now.Sub(h.clockAt)).Int("freeCpu", h.worker.Capacity.CPU-h.used.CPU).Int64("ageMs", now.UnixMilli()-j.progress.Job.Accepted).
 		Str("checkpoint", p.checkpoint).Bool("fresh", j.acceptedInTerm).Int("unread", o.unreadWorkers()).Msg("starting run")
 	o.sendStart(h, p)
 }
@@ -310,6 +310,7 @@
 		return // the run has ended or was given up meanwhile
 	}
 	h.noteAnswer(m.copies)
+	o.noteOrigin(h, p, m.reply, now)
 	if m.copies.sent > 1 {
 		p.copied = true
 		o.recordUnanswered(h, p)
--- a/owner/crash.go
+++ b/owner/crash.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -173,7 +174,7 @@
 	if why == causeLeaseOver {
 		line = o.Log.Warn()
 	}
-	o.logBelief(line, h, o.Clock.Now()).Str("cause", why).Str("task", p.task.ID.String()).Int("run", p.run).Str("host", h.id).Bool("confirmed", !p.confirmedAt.IsZero()).
+	o.logBelief(line, h, o.Clock.Now()).Str("cause", why).Str("task", p.task.ID.String()).Int("run", p.run).Str("host", h.id).Bool("confirmed", !p.confirmedAt.IsZero()).Str("origin", string(cmp.Or(p.origin, originUnknown))).
 		Dur("ranFor", p.ranFor).Dur("age", p.ageAt(h.crashedAt(o.Clock.Now()))).Int("neighbours", neighbours).Msg("run lost with its worker")
 }
 
--- a/owner/host.go
+++ b/owner/host.go
@@ -38,6 +38,8 @@
 	// clock is the worker's clock, in milliseconds, as read at clockAt or earlier.
 	clock   int64
 	clockAt time.Time
+	// firstClock is the worker's clock in the first report.
+	firstClock int64
 	// lastReport is when the last poll that was answered was sent, and obeyedAt the same by
 	// SinceBoot.
 	lastReport time.Time
--- a/owner/placement.go
+++ b/owner/placement.go
@@ -21,7 +21,10 @@
 	ranFor     time.Duration
 	// leaseUntil is the end of the lease that the start gave, in milliseconds of the
 	// worker's clock.
-	leaseUntil  int64
+	leaseUntil int64
+	// origin is the incarnation that has carried out a start; zero until one was answered or the
+	// run was reported.
+	origin      origin
 	tries       int // to start the run
 	stopTries   int
 	startSentAt time.Time // when the last try was sent
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -163,7 +163,7 @@
 	lapsed := false
 	if !h.answered {
 		lapsed = o.lapsedBefore(h, &m)
-		h.answered = true
+		h.answered, h.firstClock = true, m.report.ClockMs
 		o.enterRoster(h)
 		o.passNeeded = true
 		h.leaseUntil = max(h.leaseUntil, m.report.ClockMs+o.inheritedLease(h, now).Milliseconds())
@@ -333,6 +333,7 @@
 // reconcileRun applies the report of one active run.
 func (o *Owner) reconcileRun(h *host, v runs.Running, now time.Time) {
 	if p := h.runs[v.Task]; p != nil && p.run == v.Run {
+		p.origin = originMeant
 		p.observe(h.clock)
 		o.recordWork(h, p)
 		if p.confirmedAt.IsZero() {
@@ -364,7 +365,7 @@
 		o.stopUnknownRun(h, v.Task, v.Run)
 		return
 	}
-	p := &placement{task: t, job: j, run: v.Run, confirmedAt: now, leaseUntil: h.leaseUntil, startClock: h.clock, startSentAt: o.startedAt}
+	p := &placement{task: t, job: j, run: v.Run, confirmedAt: now, origin: originMeant, leaseUntil: h.leaseUntil, startClock: h.clock, startSentAt: o.startedAt}
 	o.reserveRoom(h, p)
 	o.adoptShare(h, p)
 	if j.progress.Outcome == steps.Open && t.Phase == steps.Waiting && v.Run >= t.Run {
--- a/owner/stats.go
+++ b/owner/stats.go
@@ -8,7 +8,9 @@
 	EvidenceLost                metrics.Counter // owners that ran out of evidence
 	Stops, Polls, PollsFailed   metrics.Counter
 	Paces                       metrics.Counter // orders to pace
-	Ends, EndsFailed            metrics.Counter
+	// AnsweredByNext are the starts answered by a later incarnation than was meant.
+	AnsweredByNext   metrics.Counter
+	Ends, EndsFailed metrics.Counter
 	// Withheld is the number of ends that are read and withheld from their workers now.
 	Withheld metrics.Counter
 	RunsLost metrics.Counter // with their workers
@@ -45,7 +47,7 @@
 		return metrics.NewRegisteredHistogram("owner."+name, reg, metrics.NewExpDecaySample(sampleSize, sampleDecay))
 	}
 	return &Stats{
-		Starts: counter("starts"), Refused: counter("refused"), Unanswered: counter("unanswered"),
+		Starts: counter("starts"), Refused: counter("refused"), Unanswered: counter("unanswered"), AnsweredByNext: counter("starts.next"),
 		Paces: counter("paces"), Stops: counter("stops"), Polls: counter("looks"), PollsFailed: counter("looks.failed"),
 		Ends: counter("ends"), EndsFailed: counter("ends.failed"), Withheld: counter("ends.withheld"), RunsLost: counter("runs.lost"),
 		GivenUp: counter("workers.givenup"), GivenUpUnanswered: counter("workers.givenup.unanswered"), LeasesInDoubt: counter("leases.doubt"), EvidenceLost: counter("evidence.lost"), CrashesGivenUp: counter("crashes.givenup"), Jobs: counter("jobs"), Cancels: counter("cancels"),
