fakes: only reports tell a worker's incarnation, and its clock starts anew

The stand-ins put the start of the incarnation into the answers to starts, stops and paces, and gave each incarnation a clock that had run for a minute. The protocol has the start only in reports and in the registration, and a worker that starts again under its ID counts its clock from 0: an answer tells owners nothing of the incarnation but by its clock.

--- a/fakes/site/worker.go
+++ b/fakes/site/worker.go
@@ -53,9 +53,9 @@
 	UntilMs, FencingToken          int64
 }
 
-// answer answers an order.
+// answer answers an order. Unlike a report, the answer doesn't tell the incarnation.
 func answer(w http.ResponseWriter, r runs.Reply, err error) {
-	body := map[string]any{"ClockMs": r.ClockMs, "born": r.StartedMs}
+	body := map[string]any{"ClockMs": r.ClockMs}
 	for e, reason := range reasons {
 		if errors.Is(err, e) {
 			body["Reason"] = reason
--- a/fakes/workerset.go
+++ b/fakes/workerset.go
@@ -130,14 +130,15 @@
 	}
 }
 
-// Join adds a worker, or a new incarnation of one with the same ID.
+// Join adds a worker that has just started, or a new incarnation of one with the same ID. The
+// incarnation's clock and the numbers of its ends start anew.
 func (ws *WorkerSet) Join(w hosts.Worker) {
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
 	now := time.Now()
 	w.StartedMs = now.UnixMilli()
 	ws.workers[w.ID] = &workerState{
-		Worker: w, up: true, clockStart: now.Add(-time.Minute), running: map[runs.Task]*activeRun{}, staleThrough: map[runs.Task]int{},
+		Worker: w, up: true, clockStart: now, running: map[runs.Task]*activeRun{}, staleThrough: map[runs.Task]int{},
 		endedAt: map[int64]time.Time{}, drainedAt: now, changed: make(chan struct{}),
 	}
 }
@@ -206,9 +207,8 @@
 	return time.Duration(float64(time.Since(w.clockStart)) * (1 - clockSlowdown)).Milliseconds()
 }
 
-func (w *workerState) reply() runs.Reply {
-	return runs.Reply{ClockMs: w.clock(), StartedMs: w.StartedMs}
-}
+// reply returns the answer to an order. Only reports tell the incarnation.
+func (w *workerState) reply() runs.Reply { return runs.Reply{ClockMs: w.clock()} }
 
 // checkFence refuses a fencing token lower than the highest one received, else records
 // it.
@@ -467,7 +467,7 @@
 
 // report returns the worker's active runs and unacknowledged ends; ws.mu is held.
 func (ws *WorkerSet) report(w *workerState) runs.Report {
-	r := runs.Report{Reply: w.reply(), Ended: slices.Clone(w.unackedEnds[:min(len(w.unackedEnds), maxEndsListed)])}
+	r := runs.Report{Reply: runs.Reply{ClockMs: w.clock(), StartedMs: w.StartedMs}, Ended: slices.Clone(w.unackedEnds[:min(len(w.unackedEnds), maxEndsListed)])}
 	for t, v := range w.running {
 		percent := 50
 		if v.step.LongRunning && time.Since(v.started) >= startupTime {
