fakes: a waiting poll ends with the incarnation that holds it

A worker's next incarnation answered a poll that had begun to wait at the one before, if it was up again at once, and a poll that the crash of the worker broke off counted as refused. Its connection ends with the incarnation, so that the poll gets no answer, and it has been carried out: owners must take its lease for given. The refusal for a lower fencing token has a clock, as every answer with a body.

--- a/fakes/workerset.go
+++ b/fakes/workerset.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -426,9 +427,15 @@
 // Renew extends the lease, removes the acknowledged ends and returns a report.
 func (ws *WorkerSet) Renew(ctx context.Context, to runs.Target, n runs.Renew) (out runs.Report, err error) {
 	wait := time.After(time.Duration(n.WaitMs) * time.Millisecond)
-	for first := true; ; first = false {
+	var from *workerState
+	for {
+		first := from == nil
 		var changed chan struct{}
 		err = ws.call(ctx, to, "renew", func(w *workerState) error {
+			if !first && w != from {
+				return plat.ErrUnknown // the connection ended with the incarnation
+			}
+			from, out.Reply = w, w.reply()
 			if err := w.checkFence(n.Fence); err != nil {
 				return err
 			}
@@ -441,6 +448,9 @@
 			out, changed = ws.report(w), w.changed
 			return nil
 		})
+		if !first && (errors.Is(err, plat.ErrUnavailable) || errors.Is(err, runs.ErrIncarnation)) {
+			return out, fmt.Errorf("%w: %w", plat.ErrUnknown, err) // it was carried out before the wait
+		}
 		if err != nil || n.WaitMs == 0 || len(out.Ended) > 0 || changed == nil {
 			return out, err
 		}
