fakes: a worker takes no lease from a start with a refused ticket

The protocol names the refusals from which the lease is taken: that the run is old, and that there is no room.

--- a/fakes/workerset.go
+++ b/fakes/workerset.go
@@ -292,11 +292,12 @@
 	if s.UntilMs <= w.clock() {
 		return runs.ErrLeaseOver
 	}
-	ws.extend(w, s.UntilMs)
 	if r := w.running[s.Task]; r != nil && r.run == s.Run {
+		ws.extend(w, s.UntilMs)
 		return nil
 	}
 	if s.Run <= w.staleThrough[s.Task] || w.running[s.Task] != nil {
+		ws.extend(w, s.UntilMs)
 		return runs.ErrStaleRun
 	}
 	j := ws.jobs[s.Task.Job]
@@ -305,8 +306,9 @@
 		return nil
 	}
 	if err := ws.checkTicket(w, s); err != nil {
-		return err
+		return err // without taking the lease, unlike the other refusals
 	}
+	ws.extend(w, s.UntilMs)
 	step := &j.Steps[s.Task.Step]
 	if err := ws.checkCheckpoint(s, step); err != nil {
 		return err
