fakes: orders that are carried out late reach a worker's next incarnation at once

The stand-in dropped late orders that came before any call of an owner had reached the next incarnation, or within 0.3 s of the first. The protocol has no word for that: a call without an answer may be carried out seconds later, and a server that is back under its ID takes it.

--- a/fakes/workercall.go
+++ b/fakes/workercall.go
@@ -43,7 +43,7 @@
 	case fault == DelayCall:
 		// The sender may have ended by then, and another incarnation with the same ID may
 		// carry out the order.
-		time.AfterFunc(ws.lateOrderDelay(), func() { ws.afterSettling(w, deliver) })
+		time.AfterFunc(ws.lateOrderDelay(), deliver)
 		return errAfter(ctx, workerTimeout, plat.ErrUnknown)
 	}
 	// An order that has been sent arrives even if its sender's context ends.
@@ -58,22 +58,6 @@
 // isAt reports whether a call to the address reaches the worker; a call without an address does.
 func (w *workerState) isAt(address string) bool { return address == "" || address == w.Address }
 
-// settling is the time from the first call that reaches an incarnation on in which an owner
-// makes it refuse what was meant for an earlier one.
-const settling = 300 * time.Millisecond
-
-// afterSettling delivers a late order, unless the worker has been replaced by an incarnation
-// that no owner has reached yet: no owner can keep that one from carrying out the order.
-func (ws *WorkerSet) afterSettling(meant *workerState, deliver func()) {
-	ws.mu.Lock()
-	w := ws.workers[meant.ID]
-	early := w != meant && (w.reachedAt.IsZero() || time.Since(w.reachedAt) < settling)
-	ws.mu.Unlock()
-	if !early {
-		deliver()
-	}
-}
-
 // lateOrderDelay returns the time after which an order with the fault DelayCall is
 // carried out.
 func (ws *WorkerSet) lateOrderDelay() time.Duration {
--- a/fakes/workerset.go
+++ b/fakes/workerset.go
@@ -93,7 +93,6 @@
 	used           hosts.Resources
 	former         []formerCapacity
 	changed        chan struct{} // closed and replaced when a run ends
-	reachedAt      time.Time     // by the first call that it accepted
 	// drainedAt is the time at which the worker was marked as draining, or joined.
 	drainedAt time.Time
 }
@@ -217,9 +216,6 @@
 	if fence < w.fence {
 		return runs.ErrFence
 	}
-	if w.reachedAt.IsZero() {
-		w.reachedAt = time.Now()
-	}
 	w.fence = fence
 	return nil
 }
