fakes: a worker that crashes while it is cut off stays silent

Calls to a worker that had crashed while it could not be reached were refused at once, and polls that waited there ended with the crash. Nobody closes the connections of a machine that went dark: calls get no answer until it is back, and the poll none at all.

--- a/fakes/crash.go
+++ b/fakes/crash.go
@@ -41,13 +41,16 @@
 }
 
 // crash ends the worker and its runs, without a report, which ends the gangs that had
-// members there; ws.mu is held.
+// members there. Calls that wait there end at once, unless the worker can't be reached. ws.mu is
+// held.
 func (ws *WorkerSet) crash(w *workerState) {
 	w.up = false
 	lost := w.running
 	w.running = map[runs.Task]*activeRun{}
-	close(w.changed)
-	w.changed = make(chan struct{})
+	if !w.unreachable {
+		close(w.changed)
+		w.changed = make(chan struct{})
+	}
 	for t, r := range lost {
 		r.timer.Stop()
 		if r.step.Gang {
--- a/fakes/workercall.go
+++ b/fakes/workercall.go
@@ -31,7 +31,7 @@
 	switch {
 	case replaced:
 		return errAfter(ctx, workerLatency, runs.ErrIncarnation)
-	case !astray && !w.up:
+	case !astray && !w.up && !w.unreachable:
 		return errAfter(ctx, workerLatency, plat.ErrUnavailable) // refused
 	case !reachable, fault == DropCall:
 		return errAfter(ctx, workerTimeout, plat.ErrUnknown)
--- a/fakes/workerset.go
+++ b/fakes/workerset.go
@@ -143,7 +143,8 @@
 	}
 }
 
-// Crash stops a worker; its runs end without a report.
+// Crash stops a worker; its runs end without a report. Calls to it are refused, or get no answer
+// if it was unreachable, until it has joined again.
 func (ws *WorkerSet) Crash(id string) {
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
@@ -426,11 +427,13 @@
 func (ws *WorkerSet) Renew(ctx context.Context, to runs.Target, n runs.Renew) (out runs.Report, err error) {
 	wait := time.After(time.Duration(n.WaitMs) * time.Millisecond)
 	var from *workerState
+	silent := false // nothing ended the connection to an earlier incarnation
 	for {
 		first := from == nil
 		var changed chan struct{}
 		err = ws.call(ctx, to, "renew", func(w *workerState) error {
 			if !first && w != from {
+				silent = from.unreachable
 				return plat.ErrUnknown // the connection ended with the incarnation
 			}
 			from, out.Reply = w, w.reply()
@@ -446,7 +449,10 @@
 			out, changed = ws.report(w), w.changed
 			return nil
 		})
-		if !first && (errors.Is(err, plat.ErrUnavailable) || errors.Is(err, runs.ErrIncarnation)) {
+		switch {
+		case silent:
+			return out, errAfter(ctx, workerTimeout, plat.ErrUnknown)
+		case !first && (errors.Is(err, plat.ErrUnavailable) || errors.Is(err, runs.ErrIncarnation)):
 			return out, fmt.Errorf("%w: %w", plat.ErrUnknown, err) // it was carried out before the wait
 		}
 		if err != nil || n.WaitMs == 0 || len(out.Ended) > 0 || changed == nil {
