--- a/owner/util_test.go
+++ b/owner/util_test.go
@@ -1,13 +1,17 @@
 package owner_test
 
 import (
+	"context"
 	"encoding/json"
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"time"
 
 	"shallotpaddle/fakes"
+	"shallotpaddle/plat"
 )
 
 func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
@@ -48,3 +52,13 @@
 	defer l.mu.Unlock()
 	return l.rand.IntN(n)
 }
+
+// noAnswer waits as a call without an answer does.
+func noAnswer(ctx context.Context) error {
+	select {
+	case <-time.After(700 * time.Millisecond):
+		return plat.ErrUnknown
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", plat.ErrUnknown, ctx.Err())
+	}
+}
