--- a/fakes/workerset.go
+++ b/fakes/workerset.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -92,7 +93,6 @@
 	used           hosts.Resources
 	former         []formerCapacity
 	changed        chan struct{} // closed and replaced when a run ends
-	reachedAt      time.Time     // by the first call that it accepted
 	// drainedAt is the time at which the worker was marked as draining, or joined.
 	drainedAt time.Time
 }
@@ -130,19 +130,21 @@
 	}
 }
 
-// Join adds a worker, or a new incarnation of one with the same ID.
+// Join adds a worker that has just started, or a new incarnation of one with the same ID. The
+// incarnation's clock and the numbers of its ends start anew.
 func (ws *WorkerSet) Join(w hosts.Worker) {
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
 	now := time.Now()
 	w.StartedMs = now.UnixMilli()
 	ws.workers[w.ID] = &workerState{
-		Worker: w, up: true, clockStart: now.Add(-time.Minute), running: map[runs.Task]*activeRun{}, staleThrough: map[runs.Task]int{},
+		Worker: w, up: true, clockStart: now, running: map[runs.Task]*activeRun{}, staleThrough: map[runs.Task]int{},
 		endedAt: map[int64]time.Time{}, drainedAt: now, changed: make(chan struct{}),
 	}
 }
 
-// Crash stops a worker; its runs end without a report.
+// Crash stops a worker; its runs end without a report. Calls to it are refused, or get no answer
+// if it was unreachable, until it has joined again.
 func (ws *WorkerSet) Crash(id string) {
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
@@ -206,9 +208,8 @@
 	return time.Duration(float64(time.Since(w.clockStart)) * (1 - clockSlowdown)).Milliseconds()
 }
 
-func (w *workerState) reply() runs.Reply {
-	return runs.Reply{ClockMs: w.clock(), StartedMs: w.StartedMs}
-}
+// reply returns the answer to an order. Only reports tell the incarnation.
+func (w *workerState) reply() runs.Reply { return runs.Reply{ClockMs: w.clock()} }
 
 // checkFence refuses a fencing token lower than the highest one received, else records
 // it.
@@ -216,9 +217,6 @@
 	if fence < w.fence {
 		return runs.ErrFence
 	}
-	if w.reachedAt.IsZero() {
-		w.reachedAt = time.Now()
-	}
 	w.fence = fence
 	return nil
 }
@@ -291,11 +289,12 @@
 	if s.UntilMs <= w.clock() {
 		return runs.ErrLeaseOver
 	}
-	ws.extend(w, s.UntilMs)
 	if r := w.running[s.Task]; r != nil && r.run == s.Run {
+		ws.extend(w, s.UntilMs)
 		return nil
 	}
 	if s.Run <= w.staleThrough[s.Task] || w.running[s.Task] != nil {
+		ws.extend(w, s.UntilMs)
 		return runs.ErrStaleRun
 	}
 	j := ws.jobs[s.Task.Job]
@@ -304,8 +303,9 @@
 		return nil
 	}
 	if err := ws.checkTicket(w, s); err != nil {
-		return err
+		return err // without taking the lease, unlike the other refusals
 	}
+	ws.extend(w, s.UntilMs)
 	step := &j.Steps[s.Task.Step]
 	if err := ws.checkCheckpoint(s, step); err != nil {
 		return err
@@ -426,9 +426,17 @@
 // Renew extends the lease, removes the acknowledged ends and returns a report.
 func (ws *WorkerSet) Renew(ctx context.Context, to runs.Target, n runs.Renew) (out runs.Report, err error) {
 	wait := time.After(time.Duration(n.WaitMs) * time.Millisecond)
-	for first := true; ; first = false {
+	var from *workerState
+	silent := false // nothing ended the connection to an earlier incarnation
+	for {
+		first := from == nil
 		var changed chan struct{}
 		err = ws.call(ctx, to, "renew", func(w *workerState) error {
+			if !first && w != from {
+				silent = from.unreachable
+				return plat.ErrUnknown // the connection ended with the incarnation
+			}
+			from, out.Reply = w, w.reply()
 			if err := w.checkFence(n.Fence); err != nil {
 				return err
 			}
@@ -441,6 +449,12 @@
 			out, changed = ws.report(w), w.changed
 			return nil
 		})
+		switch {
+		case silent:
+			return out, errAfter(ctx, workerTimeout, plat.ErrUnknown)
+		case !first && (errors.Is(err, plat.ErrUnavailable) || errors.Is(err, runs.ErrIncarnation)):
+			return out, fmt.Errorf("%w: %w", plat.ErrUnknown, err) // it was carried out before the wait
+		}
 		if err != nil || n.WaitMs == 0 || len(out.Ended) > 0 || changed == nil {
 			return out, err
 		}
@@ -467,7 +481,7 @@
 
 // report returns the worker's active runs and unacknowledged ends; ws.mu is held.
 func (ws *WorkerSet) report(w *workerState) runs.Report {
-	r := runs.Report{Reply: w.reply(), Ended: slices.Clone(w.unackedEnds[:min(len(w.unackedEnds), maxEndsListed)])}
+	r := runs.Report{Reply: runs.Reply{ClockMs: w.clock(), StartedMs: w.StartedMs}, Ended: slices.Clone(w.unackedEnds[:min(len(w.unackedEnds), maxEndsListed)])}
 	for t, v := range w.running {
 		percent := 50
 		if v.step.LongRunning && time.Since(v.started) >= startupTime {
