owner: attribute answers to incarnations, order only from workers that have just answered

Cause: an order names the worker, not the incarnation, and its answer was booked on the incarnation that was meant, with that one's clock and lease. A worker that had restarted under its ID took its longest lease from a time that was far ahead of its clock. The class: evidence of one incarnation counts for another.

Change: - The clock in an answer tells which incarnation it comes from: behind, a later one; further ahead than one could be that began after the last report, the one that was meant; else unknown. A run whose start isn't proved to be of the incarnation that was lost is held back until the longest lease is over that a later one may have taken, also from polls since. A worker whose answer is that of a later incarnation is asked for a report at once, and gets no lease and no acknowledgement of ends until then. - A start goes only to a worker that has answered in the last 200 ms; any other is asked first. A successor knows nothing of the last orders of an owner that was killed: now there is no order to an incarnation that nobody has heard of, but for a restart within that time. - Late orders are remembered for as long as a lease that they gave may last. - A worker that answers for the first time is made to refuse the starts that may still come, also if it is a further incarnation.

Tests that changed: the rig's workers have just answered, and its runs are of the incarnation that was meant, as nothing else may be assumed of them now; its longest lease is 10 s in place of a minute, which no run outlasts unnoticed. TestLateOrdersAreDroppedAtIntervals asks that orders are kept while a lease lasts. TestUnansweredBlockIsRepeatedSoon lets the worker answer until the start.

--- a/owner/act.go
+++ b/owner/act.go
@@ -86,7 +86,7 @@
 				unplaceable.Add(demand)
 				return true
 			}
-			if run := o.nextRun(j, t); !o.announce(j, t, run, false) {
+			if run := o.nextRun(j, t); o.mayOrder(candHosts[i], now) && !o.announce(j, t, run, false) {
 				o.startRun(candHosts[i], j, t, run, now)
 			}
 			cands[i].Reserve(demand)
--- a/owner/copies_test.go
+++ b/owner/copies_test.go
@@ -148,7 +148,7 @@
 			return runs.Report{}, nil
 		}
 		h := r.rows[0]
-		h.answered, h.ackable, h.unansweredAt = true, 3, r.Clock.Now()
+		h.answered, h.clockAt, h.ackable, h.unansweredAt = true, r.Clock.Now(), 3, r.Clock.Now()
 		r.poll(h, r.Clock.Now())
 		r.handle(<-r.inbox)
 		require.EqualValues(t, 3, got[0].AckedThrough)
--- a/owner/crash.go
+++ b/owner/crash.go
@@ -196,6 +196,9 @@
 func (o *Owner) startOnTrial(j *job, t *steps.Task, demand *pack.Demand, trials *pack.Trials, cands []pack.Worker, candHosts []*host, now time.Time) {
 	run := o.nextRun(j, t)
 	if i := slices.Index(candHosts, o.trialHosts[t]); i >= 0 && cands[i].HasRoomFor(demand) {
+		if !o.mayOrder(candHosts[i], now) {
+			return
+		}
 		delete(o.trialHosts, t)
 		o.startRun(candHosts[i], j, t, run, now)
 		cands[i].Reserve(demand)
--- a/owner/forget_test.go
+++ b/owner/forget_test.go
@@ -24,5 +24,10 @@
 	r.clock.Advance(forgetInterval)
 	r.forgetUnanswered(r.clock.Now())
 	require.Empty(t, r.unanswered)
+	r.clock.Advance(r.longestLease() - 2*forgetInterval)
+	r.forgetUnanswered(r.clock.Now())
+	require.Len(t, r.lateOrders, 1, "a lease that one of them gave may be in force")
+	r.clock.Advance(2 * forgetInterval)
+	r.forgetUnanswered(r.clock.Now())
 	require.Empty(t, r.lateOrders)
 }
--- a/owner/gang.go
+++ b/owner/gang.go
@@ -40,7 +40,7 @@
 	}
 	first := members[0]
 	places := pack.Gang(demands, cands, first.Step.OneRack, func(k int) int { return candHosts[k].runsOfStep(first) })
-	if places == nil || o.announceGang(j, members, run) {
+	if places == nil || !o.mayOrderAll(places, candHosts, now) || o.announceGang(j, members, run) {
 		return
 	}
 	for i, at := range places {
@@ -48,6 +48,15 @@
 	}
 }
 
+// mayOrderAll reports whether starts may be sent to all workers on which a gang finds room.
+func (o *Owner) mayOrderAll(places []int, candHosts []*host, now time.Time) bool {
+	all := true
+	for _, at := range places {
+		all = o.mayOrder(candHosts[at], now) && all
+	}
+	return all
+}
+
 // announceGang announces a run of the members that may have crashed a worker, and reports
 // whether the gang has to wait until that is stored.
 func (o *Owner) announceGang(j *job, members []*steps.Task, run int) bool {
--- a/owner/gangs_test.go
+++ b/owner/gangs_test.go
@@ -28,7 +28,7 @@
 	first.Phase, first.WorkerID, first.Run = steps.Running, "y", 1
 	for _, h := range r.rows {
 		h.worker = hosts.Worker{ID: h.id, Capacity: hosts.Resources{CPU: 1000}}
-		h.listed, h.answered, h.releaseTask = true, true, 0
+		h.listed, h.answered, h.clockAt, h.releaseTask = true, true, r.clock.Now().Add(time.Second), 0
 	}
 	r.scheduleStarts(r.clock.Now().Add(time.Second))
 	occurrences := map[int]int{}
--- a/owner/host.go
+++ b/owner/host.go
@@ -44,6 +44,11 @@
 	// SinceBoot.
 	lastReport time.Time
 	obeyedAt   time.Duration
+	// confirming tells that the worker is asked for a report at once, and unconfirmed that it has
+	// not answered that, and no poll since.
+	confirming, unconfirmed bool
+	// leasedBy is until when the last poll that extended the lease was carried out, unless late.
+	leasedBy time.Time
 	// leaseUntil is the end of the longest lease given, in milliseconds of the
 	// worker's clock.
 	leaseUntil int64
@@ -171,7 +176,7 @@
 // usable reports whether the worker may get new work. storedRoster is the version
 // of the roster that is stored.
 func (h *host) usable(now time.Time, storedRoster int) bool {
-	return h.listed && h.answered && h.failingSince.IsZero() && h.claim == nil && !h.unreadable && !h.worker.Draining && h.releaseTask == 0 && !h.resting && len(h.unacked) < maxUnacked && h.rosterVersion <= storedRoster && !now.Before(h.noRoomUntil)
+	return h.listed && h.answered && h.failingSince.IsZero() && !h.unconfirmed && h.claim == nil && !h.unreadable && !h.worker.Draining && h.releaseTask == 0 && !h.resting && len(h.unacked) < maxUnacked && h.rosterVersion <= storedRoster && !now.Before(h.noRoomUntil)
 }
 
 // updateWorkers applies the list of registered workers. One whose registration can't be used
--- a/owner/lapse.go
+++ b/owner/lapse.go
@@ -28,7 +28,7 @@
 // recordLapsed records that the lease of a worker that is given up is over. Nothing is known
 // of a lease that an order to an earlier incarnation may have given.
 func (o *Owner) recordLapsed(h *host, now time.Time) {
-	if h.startedMs == 0 || !h.answered && (h.formerLease || h.lateLeases.After(now)) {
+	if h.startedMs == 0 || !h.answered && (h.formerLease || now.Before(h.lateLeases.Add(o.longestLease()))) {
 		return
 	}
 	o.lapsed[h.id] = lapsedLease{h.startedMs, now}
--- a/owner/late.go
+++ b/owner/late.go
@@ -53,8 +53,8 @@
 // to an earlier incarnation that is carried out late.
 func (o *Owner) inheritedLease(h *host, now time.Time) time.Duration {
 	switch {
-	case h.lateLeases.After(now):
-		return h.lateLeases.Sub(now) + o.Bounds.MaxLease
+	case now.Before(h.lateLeases.Add(o.longestLease())):
+		return max(h.lateLeases.Sub(now), 0) + o.Bounds.MaxLease
 	case h.formerLease:
 		return o.Bounds.MaxLease
 	default:
@@ -62,10 +62,15 @@
 	}
 }
 
-// forgetLateOrders drops the orders that can't be carried out any more.
+// longestLease returns how long the longest lease that a worker grants lasts at most.
+func (o *Owner) longestLease() time.Duration {
+	return time.Duration(float64(o.Bounds.MaxLease)/(1-maxClockSlowness)) + leaseSlack
+}
+
+// forgetLateOrders drops the orders of which nothing is in force any more.
 func (o *Owner) forgetLateOrders(now time.Time) {
 	for id, list := range o.lateOrders {
-		list = slices.DeleteFunc(list, func(l *lateOrders) bool { return now.After(l.lease) })
+		list = slices.DeleteFunc(list, func(l *lateOrders) bool { return now.After(l.lease.Add(o.longestLease())) })
 		o.lateOrders[id] = list
 		if len(list) == 0 {
 			delete(o.lateOrders, id)
--- a/owner/latestart_test.go
+++ b/owner/latestart_test.go
@@ -130,12 +130,16 @@
 	withoutFaults(t, 1, func(_ context.Context, pool *testPool) {
 		var mu sync.Mutex
 		var stops []time.Time
+		started := false
 		pool.workers.InjectFault = func(_, op string) fakes.CallFault {
 			mu.Lock()
 			defer mu.Unlock()
 			if op == "stop" {
 				stops = append(stops, time.Now())
 			}
+			if started = started || op == "start"; !started {
+				return fakes.NoFault // a worker that does not answer gets no start
+			}
 			return fakes.DropCall
 		}
 		pool.submit(&steps.Job{ID: fmt.Sprintf("%016x", 1), Queue: "q", MaxAttempts: 3, Steps: []steps.Step{{Count: 1, CPU: 1000, LongRunning: true}}})
--- a/owner/modelrestart_test.go
+++ b/owner/modelrestart_test.go
@@ -224,7 +224,7 @@
 // TestModelRestartCutCatches checks that restarts and cuts detect a missing safeguard.
 func TestModelRestartCutCatches(t *testing.T) {
 	for name, prepare := range map[string]func(pool *testPool){
-		"an owner that takes the longest lease for a shorter one": func(pool *testPool) { pool.maxLease = 4 * time.Second },
+		"reports that are taken for fresher than they are": func(pool *testPool) { staleReports(pool, time.Second) },
 		"reports in the name of the first incarnation": func(pool *testPool) {
 			var mu sync.Mutex
 			first := map[string]int64{}
@@ -252,3 +252,30 @@
 		})
 	}
 }
+
+// staleReports answers what asks for a report at once, as before a start, with the report before, up
+// to the given age: as if nobody asked.
+func staleReports(pool *testPool, age time.Duration) {
+	type report struct {
+		runs.Report
+		at time.Time
+	}
+	var mu sync.Mutex
+	last := map[string]report{}
+	pool.renew = func(ctx context.Context, to runs.Target, n runs.Renew) (runs.Report, error) {
+		mu.Lock()
+		old := last[to.ID]
+		mu.Unlock()
+		if elapsed := time.Since(old.at); n.UntilMs == 0 && n.WaitMs == 0 && elapsed < age {
+			old.ClockMs += int64(float64(elapsed.Milliseconds()) * 0.98)
+			return old.Report, nil
+		}
+		r, err := pool.workers.Renew(ctx, to, n)
+		if err == nil {
+			mu.Lock()
+			last[to.ID] = report{r, time.Now()}
+			mu.Unlock()
+		}
+		return r, err
+	}
+}
--- a/owner/origin.go
+++ b/owner/origin.go
@@ -61,5 +61,6 @@
 		o.identify(o.Log.Warn()).Str("task", p.task.ID.String()).Int("run", p.run).Str("host", h.id).Int64("born", h.startedMs).
 			Int64("clock", r.ClockMs).Int64("clockMeant", h.clockAtLeast(p.startSentAt)).Dur("sinceAnswer", now.Sub(h.clockAt)).
 			Msg("start answered by a later incarnation of the worker than was meant")
+		o.doubtIncarnation(h, now)
 	}
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -323,6 +323,8 @@
 		o.handleBlocked(m)
 	case pollResult:
 		o.handlePoll(m)
+	case confirmResult:
+		o.handleConfirmed(m)
 	case claimAnswer:
 		o.handleClaim(m)
 	case commitResult:
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -46,7 +46,7 @@
 	if h.polling || now.Before(h.nextPoll) {
 		return false
 	}
-	return !h.answered || h.awaitsStarts || h.proofDue || len(h.runs) > 0 || h.ackable > h.acked || len(h.unacked) > 0 || !h.failingSince.IsZero() || now.Sub(h.clockAt) > maxClockAge
+	return !h.answered || h.confirming || h.awaitsStarts || h.proofDue || len(h.runs) > 0 || h.ackable > h.acked || len(h.unacked) > 0 || !h.failingSince.IsZero() || now.Sub(h.clockAt) > maxClockAge
 }
 
 // pollHosts polls the workers that are due.
@@ -79,7 +79,7 @@
 		h.leaseUntil = max(h.leaseUntil, n.UntilMs)
 		o.countLease()
 	}
-	if h.failingSince.IsZero() && h.answered && (len(h.runs) > 0 || h.awaitsStarts) && len(h.unacked) == 0 {
+	if h.failingSince.IsZero() && h.answered && !h.confirming && (len(h.runs) > 0 || h.awaitsStarts) && len(h.unacked) == 0 {
 		wait := pollWait
 		switch trial := o.trialWait(h); {
 		case trial > 0:
@@ -102,6 +102,9 @@
 	to, wait, begun := h.target(), time.Duration(n.WaitMs)*time.Millisecond, o.roundAt
 	delay := h.copyDelay(now)
 	within := wait + tryTimeout(h.failedPolls+1, delay)
+	if n.UntilMs > 0 {
+		h.leasedBy = now.Add(within)
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(o.ctx, within)
 		defer cancel()
@@ -134,6 +137,9 @@
 	if o.hosts[h.id] != h {
 		return // the incarnation ended meanwhile
 	}
+	if h.confirming && m.wait == 0 {
+		h.confirming, o.passNeeded = false, true
+	}
 	h.noteAnswer(m.copies)
 	if m.copies.answered > 0 {
 		h.unansweredAt = now
@@ -144,6 +150,12 @@
 		o.pollFailed(m, now)
 		return
 	}
+	o.handleReport(m, now)
+}
+
+// handleReport applies the report of a worker that has answered a poll.
+func (o *Owner) handleReport(m pollResult, now time.Time) {
+	h := m.host
 	if m.report.StartedMs != 0 && h.startedMs != 0 && m.report.StartedMs != h.startedMs {
 		o.takeIncarnation(h, m)
 		return
@@ -160,8 +172,8 @@
 		o.leaveUnblocked(h, now)
 		o.passNeeded = true
 	}
-	lapsed := false
-	if !h.answered {
+	lapsed, first := false, !h.answered
+	if first {
 		lapsed = o.lapsedBefore(h, &m)
 		h.answered, h.firstClock = true, m.report.ClockMs
 		o.enterRoster(h)
@@ -173,13 +185,17 @@
 	}
 	// The worker read its clock when it answered, which may be long after the poll
 	// was sent. Counting from the sending would let the lease seem to expire early.
-	h.clock, h.clockAt, h.lastReport, h.obeyedAt = m.report.ClockMs, now, m.sent, m.begun
+	h.clock, h.clockAt, h.lastReport, h.obeyedAt = m.report.ClockMs, now, later(h.lastReport, m.sent), max(h.obeyedAt, m.begun)
+	h.unconfirmed = false
 	o.noteFenced(h.id, h.startedMs)
 	h.acked = max(h.acked, m.acked)
 	h.idle = len(m.report.Running) == 0 && !listsAllEnds(&m.report)
 	h.recordLapse(&m.report, lapsed)
 	o.handleEnds(h, m.report.Ended)
 	o.reconcileRuns(h, m.report, m.sent, now)
+	if first {
+		o.blockUnansweredStarts(h)
+	}
 	o.adjustFillShare(h)
 	o.ackStoredEnds()
 	o.digestDue = o.digestDue || h.releaseTask != 0 && o.isEmpty(h)
--- a/owner/pool_test.go
+++ b/owner/pool_test.go
@@ -1,7 +1,6 @@
 package owner_test
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -74,8 +73,6 @@
 	stats   *owner.Stats // of the owners of the pool
 	// size is the number of workers at the begin of run, 6 if 0.
 	size int
-	// maxLease is the longest lease of workers that owners are told, holdMax if 0.
-	maxLease time.Duration
 	// retention is how long ended jobs are kept.
 	retention time.Duration
 	// provenAt and formerEnded are what owners hear of the election. Tests replace them to
@@ -335,7 +332,7 @@
 	run, end := context.WithCancel(ctx)
 	o := owner.New(owner.Params{
 		Pool: poolName, ElectionKey: elect.Key(poolName), Fence: t.Fence, Term: t.Number,
-		Bounds:     owner.Bounds{MaxLease: cmp.Or(pool.maxLease, holdMax), StopTime: 200 * time.Millisecond, Drain: 2 * time.Second, StatusRetention: pool.retention},
+		Bounds:     owner.Bounds{MaxLease: holdMax, StopTime: 200 * time.Millisecond, Drain: 2 * time.Second, StatusRetention: pool.retention},
 		Store:      owner.Store{List: store.List, Watch: store.Watch, Commit: store.Commit},
 		Workers:    pool.orders(e),
 		AskAdvisor: pool.workers.AskIn(e.turn), Advice: e.line, Proven: e.elect.Proven, ProvenAt: pool.provenAt(e), FormerEnded: func() bool { return pool.formerEnded(e, t) }, Settled: func() { e.elect.Settle(t) }, SinceBoot: func() time.Duration { return time.Duration(time.Now().UnixNano()) },
--- a/owner/release_test.go
+++ b/owner/release_test.go
@@ -33,7 +33,7 @@
 func newRig(t *testing.T) *rig {
 	r := &rig{clock: quartz.NewMock(t), stops: make(chan runs.Stop, 9)}
 	r.Owner = New(Params{
-		Pool: "a", Clock: r.clock, Bounds: Bounds{StopTime: 400 * time.Millisecond, MaxLease: time.Minute},
+		Pool: "a", Clock: r.clock, Bounds: Bounds{StopTime: 400 * time.Millisecond, MaxLease: 10 * time.Second},
 		Log:   &log.Logger{Writer: log.IOWriter{Writer: io.Discard}},
 		Stats: NewStats(metrics.NewRegistry()), Proven: func() bool { return true }, FormerEnded: func() bool { return false }, Settled: func() {}, Advice: advice.New(r.clock),
 		SinceBoot: func() time.Duration { return time.Duration(r.clock.Now().UnixNano()) },
@@ -52,8 +52,8 @@
 		h := newHost(hosts.Worker{ID: id})
 		task := j.progress.Task(runs.Task{Job: "j", Index: i})
 		task.Phase, task.WorkerID, task.Run, task.Percent = steps.Running, id, 1, 100
-		r.hosts[id] = h
-		r.reserveRoom(h, &placement{task: task, job: j, run: 1, confirmedAt: r.clock.Now()})
+		r.hosts[id], h.clockAt = h, r.clock.Now()
+		r.reserveRoom(h, &placement{task: task, job: j, run: 1, confirmedAt: r.clock.Now(), origin: originMeant})
 		r.tasks, r.rows = append(r.tasks, task), append(r.rows, h)
 	}
 	r.rows[0].releaseTask = 7
--- a/owner/unanswered.go
+++ b/owner/unanswered.go
@@ -57,13 +57,16 @@
 	return usual
 }
 
-// unansweredStart is a start without an answer. The worker, or a later incarnation
-// with the same ID, may still carry it out.
+// unansweredStart is a start without an answer, or one that a later incarnation of the worker
+// may have answered. The worker, or a later incarnation with the same ID, may still carry it out.
 type unansweredStart struct {
 	task *steps.Task
 	run  int
-	sent time.Time // of the last try without an answer
+	sent time.Time // of the last try
 	to   runs.Target
+	// leaseUntil is when the lease is over of a later incarnation that has carried the start out
+	// already; zero until the worker is lost.
+	leaseUntil time.Time
 	// blocking tells that a call to block the start is under way, and blocked that the
 	// worker that answers at the address refuses it.
 	blocking, blocked bool
@@ -79,6 +82,9 @@
 // mayArriveUntil is when the start can't be carried out any more.
 func (u *unansweredStart) mayArriveUntil() time.Time { return u.sent.Add(maxOrderDelay) }
 
+// mayRunUntil is when the run can't be at work any more.
+func (u *unansweredStart) mayRunUntil() time.Time { return later(u.mayArriveUntil(), u.leaseUntil) }
+
 // blockResult is the result of the stop that makes a worker refuse an unanswered
 // start.
 type blockResult struct {
@@ -125,7 +131,9 @@
 	o.forgetRemoved(now)
 	o.refreshLongerLeases(now)
 	for id, list := range o.unanswered {
-		list = slices.DeleteFunc(list, func(u *unansweredStart) bool { return now.After(u.mayArriveUntil()) })
+		list = slices.DeleteFunc(list, func(u *unansweredStart) bool {
+			return now.After(u.mayRunUntil())
+		})
 		o.unanswered[id] = list
 		if len(list) == 0 {
 			delete(o.unanswered, id)
@@ -134,24 +142,39 @@
 }
 
 // holdBack delays the next start of a subtask whose worker is gone, if a start there may
-// still be carried out: the worker's next incarnation knows nothing of what this one has
-// run or refused.
+// still be carried out, or a later incarnation may have: that knows nothing of what this one has
+// run or refused, and has taken its longest lease.
 func (o *Owner) holdBack(h *host, p *placement) {
-	if p.confirmedAt.IsZero() || p.inFlight {
+	if p.origin != originMeant || p.inFlight {
 		o.recordUnanswered(h, p)
 	}
 	for _, u := range o.unanswered[h.id] {
-		if u.task != p.task || !u.mayArriveUntil().After(o.Clock.Now()) {
+		if u.task != p.task {
 			continue
 		}
-		if u.mayArriveUntil().After(p.task.HeldUntil) {
-			p.task.HeldUntil = u.mayArriveUntil()
+		u.leaseUntil = later(u.leaseUntil, o.nextLeaseUntil(h, p))
+		if !u.mayRunUntil().After(o.Clock.Now()) {
+			continue
 		}
+		p.task.HeldUntil = later(p.task.HeldUntil, u.mayRunUntil())
 		o.Log.Info().Str("task", p.task.ID.String()).Int("run", u.run).Str("host", h.id).Dur("age", o.Clock.Since(u.sent)).
 			Msg("subtask held back: its last start may still be carried out")
 	}
 }
 
+// nextLeaseUntil returns until when a later incarnation that has carried out the start of a run by now
+// holds its lease at the latest. If it may have answered the start, all orders since may reach
+// it, else only those that are not late.
+func (o *Owner) nextLeaseUntil(h *host, p *placement) time.Time {
+	last := later(p.lastSentAt(), h.leasedBy)
+	if !p.confirmedAt.IsZero() && p.origin != originMeant {
+		for _, l := range o.lateOrders[h.id] {
+			last = later(last, l.lease)
+		}
+	}
+	return last.Add(o.longestLease())
+}
+
 // blockUnansweredStarts makes whatever answers next at the address of a worker refuse the
 // starts that this one has not answered, but for those of runs that it has.
 func (o *Owner) blockUnansweredStarts(h *host) {
@@ -181,7 +204,7 @@
 		if atOnce <= 0 {
 			return
 		}
-		if u.toBlock && !u.blocking && u.mayArriveUntil().After(now) {
+		if u.toBlock && !u.blocking && u.mayRunUntil().After(now) {
 			o.blockStart(u)
 			atOnce--
 		}
@@ -249,6 +272,19 @@
 			return
 		}
 	}
-	u.task.HeldUntil = at
+	u.task.HeldUntil = later(at, o.heldElsewhere(u))
 	o.passNeeded = true
 }
+
+// heldElsewhere returns until when starts at other workers hold the subtask of a blocked one back.
+func (o *Owner) heldElsewhere(blocked *unansweredStart) time.Time {
+	var until time.Time
+	for id, list := range o.unanswered {
+		for _, u := range list {
+			if id != blocked.to.ID && u.task == blocked.task && !u.blocked && !u.leaseUntil.IsZero() {
+				until = later(until, u.mayRunUntil())
+			}
+		}
+	}
+	return until
+}
--- a/owner/unanswered_test.go
+++ b/owner/unanswered_test.go
@@ -26,7 +26,7 @@
 		h, sent := r.rows[0], r.clock.Now()
 		p := r.startUnansweredAt(h, c.longRunning)
 		if c.confirmed {
-			p.confirmedAt, p.task.Phase = sent, steps.Running
+			p.confirmedAt, p.origin, p.task.Phase = sent, originMeant, steps.Running
 		}
 		r.clock.Advance(4300 * time.Millisecond)
 		r.endIncarnation(h, "lease is over")
@@ -84,7 +84,7 @@
 	next := newHost(h.worker)
 	r.hosts[h.id] = next
 	p.task.Phase, p.task.Run, p.task.WorkerID = steps.Running, p.run+1, h.id
-	r.reserveRoom(next, &placement{task: p.task, job: p.job, run: p.run + 1, confirmedAt: r.clock.Now()})
+	r.reserveRoom(next, &placement{task: p.task, job: p.job, run: p.run + 1, confirmedAt: r.clock.Now(), origin: originMeant})
 	r.endIncarnation(next, "another incarnation answers")
 	require.Equal(t, maxOrderDelay, p.task.HeldUntil.Sub(r.clock.Now()))
 }
@@ -94,7 +94,7 @@
 func (r *rig) startUnansweredAt(h *host, longRunning bool) *placement {
 	p := h.runs[r.tasks[0].ID]
 	p.task.Step.LongRunning = longRunning
-	p.confirmedAt, p.startSentAt, p.task.Phase = time.Time{}, r.clock.Now(), steps.Starting
+	p.confirmedAt, p.origin, p.startSentAt, p.task.Phase = time.Time{}, "", r.clock.Now(), steps.Starting
 	r.recordUnanswered(h, p)
 	return p
 }
