owner, steps: store runs in doubt with their jobs

Cause: a start without an answer was kept in the memory of its owner only, and so was what held the subtask back.

Change: as soon as a worker doesn't answer, or a later incarnation has answered in its place, the runs there that nobody has heard of are stored with their jobs: worker, address, incarnation, and for how long they may be at work. They are stored again as that becomes shorter, and taken out when it is over. A successor holds these subtasks back, and no others, and ends that when the worker, asked, has neither run nor order. If another incarnation is registered and doesn't answer, they are held for a lease longer. What an owner doesn't live to store for lack of a moment is kept small by asking before each start.

TestModelHour bounds the new lists by 0 at its marks.

--- a/owner/claim.go
+++ b/owner/claim.go
@@ -73,6 +73,7 @@
 		return
 	}
 	h.claim = &claim{worker: w, since: now, next: now}
+	o.doubtNext(w.ID, w.StartedMs)
 	o.Log.Info().Str("pool", o.Pool).Str("host", h.id).Int64("born", h.startedMs).Int64("registeredBorn", w.StartedMs).
 		Str("address", h.worker.Address).Str("registeredAddress", w.Address).Int64("rev", w.Rev).Bool("answered", h.answered).
 		Dur("sinceAnswer", now.Sub(h.clockAt)).Int("runs", len(h.runs)).Msg("registration contradicts what is known of the worker")
--- a/owner/confirm.go
+++ b/owner/confirm.go
@@ -69,5 +69,6 @@
 	if h.failingSince.IsZero() {
 		h.failingSince = now
 	}
+	o.storeDoubts(h)
 	o.confirm(h, now)
 }
--- /dev/null
+++ b/owner/doubt.go
@@ -0,0 +1,100 @@
+package owner
+
+import (
+	"slices"
+	"time"
+
+	"shallotpaddle/runs"
+	"shallotpaddle/steps"
+)
+
+// storeDoubts stores, for a later owner, the starts at a worker that nobody has heard of since and
+// that may still be carried out, or have been by a later incarnation.
+func (o *Owner) storeDoubts(h *host) {
+	for _, p := range h.runs {
+		if p.origin == originMeant && !p.inFlight {
+			continue
+		}
+		until := later(p.lastSentAt().Add(maxOrderDelay), o.nextLeaseUntil(h, p))
+		o.storeDoubt(p.task, steps.Doubt{Run: p.run, Worker: h.id, Address: h.worker.Address, Born: h.startedMs}, until)
+	}
+	for _, u := range o.unanswered[h.id] {
+		o.storeDoubt(u.task, u.doubt(), u.mayRunUntil())
+	}
+}
+
+func (o *Owner) storeDoubt(t *steps.Task, d steps.Doubt, until time.Time) {
+	j := o.jobs[t.ID.Job]
+	left := until.Sub(o.Clock.Now())
+	if j == nil || j.progress.Outcome != steps.Open || t.Phase == steps.Finished || left <= 0 {
+		return
+	}
+	d.LeftMs = left.Milliseconds()
+	if t.AddDoubt(d) {
+		o.markChanged(&j.doc)
+		o.writeFirst(&j.doc)
+	}
+}
+
+func (u *unansweredStart) doubt() steps.Doubt {
+	return steps.Doubt{Run: u.run, Worker: u.to.ID, Address: u.to.Address, Born: u.born}
+}
+
+// doubtNext holds subtasks back for longer as another incarnation of their worker is registered, which
+// may carry their starts out late and take its longest lease. As soon as it answers, it is made
+// to refuse them.
+func (o *Owner) doubtNext(worker string, born int64) {
+	now := o.Clock.Now()
+	for _, u := range o.unanswered[worker] {
+		if u.blocked || born == 0 || u.born == born || !u.mayRunUntil().After(now) {
+			continue
+		}
+		u.leaseUntil = later(u.leaseUntil, u.mayArriveUntil().Add(o.longestLease()))
+		if u.task.HeldUntil.After(now) {
+			u.task.HeldUntil = later(u.task.HeldUntil, u.leaseUntil)
+			o.storeDoubt(u.task, u.doubt(), u.leaseUntil)
+		}
+	}
+}
+
+// dropDoubt takes a run of which nothing is in doubt any more out of its job's record.
+func (o *Owner) dropDoubt(t *steps.Task, worker string, run int) {
+	if j := o.jobs[t.ID.Job]; t.DropDoubt(worker, run) && j != nil {
+		o.markChanged(&j.doc)
+	}
+}
+
+// restoreDoubts holds the subtasks of a job back for which an earlier owner has stored doubts. Its
+// clock is not known, so that the time left counts from now on.
+func (o *Owner) restoreDoubts(j *job) {
+	now := o.Clock.Now()
+	j.progress.Each(func(t *steps.Task) {
+		for _, d := range t.Doubts {
+			until := now.Add(time.Duration(d.LeftMs) * time.Millisecond)
+			t.HeldUntil = later(t.HeldUntil, until)
+			if slices.ContainsFunc(o.unanswered[d.Worker], func(u *unansweredStart) bool { return u.task == t && u.run == d.Run }) {
+				continue
+			}
+			o.unanswered[d.Worker] = append(o.unanswered[d.Worker], &unansweredStart{
+				task: t, run: d.Run, sent: until.Add(-maxOrderDelay), to: runs.Target{ID: d.Worker, Address: d.Address}, leaseUntil: until, born: d.Born,
+			})
+			o.identify(o.Log.Info()).Str("task", t.ID.String()).Int("run", d.Run).Str("host", d.Worker).Dur("left", until.Sub(now)).
+				Msg("subtask held back: an earlier owner's start may be at work or be carried out")
+		}
+	})
+}
+
+// doubtStep is by how much the time left of a stored doubt falls behind before it is stored again:
+// a later owner counts it from its own begin.
+const doubtStep = time.Second
+
+// refreshDoubts has the doubts stored again whose time left has become shorter.
+func (o *Owner) refreshDoubts(now time.Time) {
+	for _, list := range o.unanswered {
+		for _, u := range list {
+			if j := o.jobs[u.task.ID.Job]; j != nil && u.task.ShortenDoubt(u.to.ID, u.run, u.mayRunUntil().Sub(now), doubtStep) {
+				o.markChanged(&j.doc)
+			}
+		}
+	}
+}
--- a/owner/host.go
+++ b/owner/host.go
@@ -233,6 +233,7 @@
 		h = newHost(w)
 		h.releaseTask = o.fleetPlan.Release[w.ID]
 		o.inheritLateOrders(h)
+		o.doubtNext(w.ID, w.StartedMs)
 		o.hosts[w.ID] = h
 		o.Log.Info().Str("pool", o.Pool).Str("host", w.ID).Str("address", w.Address).Int64("born", w.StartedMs).
 			Int("cpu", w.Capacity.CPU).Int64("rev", w.Rev).Msg("worker registered")
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -107,6 +107,7 @@
 		} else {
 			j.progress.Restore(r)
 			o.delayRestarts(j)
+			o.restoreDoubts(j)
 		}
 	}
 	if j.progress.Outcome != steps.Open {
--- a/owner/modelhourmarks_test.go
+++ b/owner/modelhourmarks_test.go
@@ -170,7 +170,7 @@
 		"owner.job.advice": 0, "owner.silentWorkers.ids": mostNamed, "owner.writer.queue": len(l.keep) + 3,
 		"shift.Inflow.arrivals":      l.arrivals,
 		"steps.Progress.occurrences": heldJobs, "steps.occurrence.tasks": heldSteps, "steps.occurrence.unfinished": heldSteps, "steps.occurrence.tasks element": heldTasks,
-		"steps.Task.FailedRuns": mostAttempts * heldTasks, "steps.Task.Crashes": mostCrashes * heldTasks,
+		"steps.Task.FailedRuns": mostAttempts * heldTasks, "steps.Task.Crashes": mostCrashes * heldTasks, "steps.Task.Doubts": 0,
 	}
 }
 
@@ -245,7 +245,7 @@
 	for _, s := range j.Steps {
 		tasks += s.Count
 	}
-	return map[string]int{"steps.Record.Tasks": tasks, "steps.TaskRecord.FailedRuns": mostAttempts * tasks, "steps.TaskRecord.Crashes": mostCrashes * tasks}
+	return map[string]int{"steps.Record.Tasks": tasks, "steps.TaskRecord.FailedRuns": mostAttempts * tasks, "steps.TaskRecord.Crashes": mostCrashes * tasks, "steps.TaskRecord.Doubts": 0}
 }
 
 // checkRoster checks that the roster has the workers at work and those given up lately.
--- a/owner/placement.go
+++ b/owner/placement.go
@@ -59,6 +59,7 @@
 		return
 	}
 	delete(h.runs, p.task.ID)
+	o.dropDoubt(p.task, h.id, p.run)
 	o.forgetStray(p)
 	s := p.task.Step
 	if !s.Fills {
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -226,6 +226,7 @@
 	case h.failingSince.IsZero():
 		h.failingSince = now
 		o.blockUnansweredStarts(h) // it may restart before that is noticed
+		o.storeDoubts(h)
 		if connectionBroken(err) {
 			o.recordCrash(h, now)
 		}
@@ -350,6 +351,7 @@
 func (o *Owner) reconcileRun(h *host, v runs.Running, now time.Time) {
 	if p := h.runs[v.Task]; p != nil && p.run == v.Run {
 		p.origin = originMeant
+		o.dropDoubt(p.task, h.id, p.run)
 		p.observe(h.clock)
 		o.recordWork(h, p)
 		if p.confirmedAt.IsZero() {
@@ -381,6 +383,7 @@
 		o.stopUnknownRun(h, v.Task, v.Run)
 		return
 	}
+	o.dropDoubt(t, h.id, v.Run)
 	p := &placement{task: t, job: j, run: v.Run, confirmedAt: now, origin: originMeant, leaseUntil: h.leaseUntil, startClock: h.clock, startSentAt: o.startedAt}
 	o.reserveRoom(h, p)
 	o.adoptShare(h, p)
--- a/owner/unanswered.go
+++ b/owner/unanswered.go
@@ -130,9 +130,14 @@
 	o.forgetLapsed(now)
 	o.forgetRemoved(now)
 	o.refreshLongerLeases(now)
+	o.refreshDoubts(now)
 	for id, list := range o.unanswered {
 		list = slices.DeleteFunc(list, func(u *unansweredStart) bool {
-			return now.After(u.mayRunUntil())
+			over := now.After(u.mayRunUntil())
+			if over {
+				o.dropDoubt(u.task, id, u.run)
+			}
+			return over
 		})
 		o.unanswered[id] = list
 		if len(list) == 0 {
@@ -157,6 +162,7 @@
 			continue
 		}
 		p.task.HeldUntil = later(p.task.HeldUntil, u.mayRunUntil())
+		o.storeDoubt(u.task, u.doubt(), u.mayRunUntil())
 		o.Log.Info().Str("task", p.task.ID.String()).Int("run", u.run).Str("host", h.id).Dur("age", o.Clock.Since(u.sent)).
 			Msg("subtask held back: its last start may still be carried out")
 	}
@@ -267,6 +273,7 @@
 	u.blocked, u.toBlock = true, false
 	o.Log.Info().Str("task", u.task.ID.String()).Int("run", u.run).Str("host", u.to.ID).Dur("age", o.Clock.Since(u.sent)).
 		Str("cause", why).Msg("unanswered start can't be carried out any more")
+	o.dropDoubt(u.task, u.to.ID, u.run)
 	for _, other := range o.unanswered[u.to.ID] {
 		if other.task == u.task && !other.blocked {
 			return
--- /dev/null
+++ b/steps/doubt.go
@@ -0,0 +1,58 @@
+package steps
+
+import (
+	"slices"
+	"time"
+)
+
+// Doubt is a run that a worker may have, or may still start, although no owner has heard of it
+// since it was ordered.
+type Doubt struct {
+	Run     int    `json:"run"`
+	Worker  string `json:"on"`
+	Address string `json:"at"`
+	// Born is the start of the incarnation for which the run was ordered, in Unix milliseconds.
+	Born int64 `json:"born,omitempty"`
+	// LeftMs is for how long, from the moment when it was stored, the run may be at work, in
+	// milliseconds.
+	LeftMs int64 `json:"ms"`
+}
+
+// AddDoubt records a run in doubt, in place of what was known of it, and reports whether that
+// was news.
+func (t *Task) AddDoubt(d Doubt) bool {
+	i := t.doubtIndex(d.Worker, d.Run)
+	if i < 0 {
+		t.Doubts = append(t.Doubts, d)
+		return true
+	}
+	if t.Doubts[i].LeftMs >= d.LeftMs {
+		return false
+	}
+	t.Doubts[i] = d
+	return true
+}
+
+// DropDoubt removes a run that is in doubt no more, and reports whether it was.
+func (t *Task) DropDoubt(worker string, run int) bool {
+	i := t.doubtIndex(worker, run)
+	if i >= 0 {
+		t.Doubts = slices.Delete(t.Doubts, i, i+1)
+	}
+	return i >= 0
+}
+
+func (t *Task) doubtIndex(worker string, run int) int {
+	return slices.IndexFunc(t.Doubts, func(d Doubt) bool { return d.Worker == worker && d.Run == run })
+}
+
+// ShortenDoubt records for how long a run that is in doubt may be at work now, and reports whether
+// that is at least step less than recorded.
+func (t *Task) ShortenDoubt(worker string, run int, left, step time.Duration) bool {
+	i := t.doubtIndex(worker, run)
+	if i < 0 || time.Duration(t.Doubts[i].LeftMs)*time.Millisecond-left < step {
+		return false
+	}
+	t.Doubts[i].LeftMs = left.Milliseconds()
+	return true
+}
--- a/steps/record.go
+++ b/steps/record.go
@@ -13,7 +13,7 @@
 }
 
 // TaskRecord is the state of a subtask that is done, has failed, has a checkpoint,
-// has runs that don't count, or may have crashed a worker.
+// has runs that don't count or are in doubt, or may have crashed a worker.
 type TaskRecord struct {
 	Occur          int     `json:"k,omitempty"`
 	Step           int     `json:"s,omitempty"`
@@ -24,6 +24,7 @@
 	Checkpoint     string  `json:"c,omitempty"`
 	HighestVoidRun int     `json:"v,omitempty"`
 	Crashes        []Crash `json:"crashed,omitempty"`
+	Doubts         []Doubt `json:"doubts,omitempty"`
 	// Failures and LastFailedRun stand in records of earlier builds, in place of
 	// FailedRuns.
 	Failures      int `json:"f,omitempty"`
@@ -49,14 +50,14 @@
 	r := Record{Queue: p.Job.Queue, State: p.Outcome, Started: p.Started}
 	p.Each(func(task *Task) {
 		done := task.Phase == Finished
-		needed := p.Outcome == Open && (done || len(task.FailedRuns) > 0 || len(task.Crashes) > 0 || task.Checkpoint != "")
+		needed := p.Outcome == Open && (done || len(task.FailedRuns) > 0 || len(task.Crashes) > 0 || len(task.Doubts) > 0 || task.Checkpoint != "")
 		if !needed && task.HighestVoidRun == 0 {
 			return
 		}
 		r.Tasks = append(r.Tasks, TaskRecord{
 			Occur: task.ID.Occur, Step: task.ID.Step, Index: task.ID.Index,
 			Done: done, FailedRuns: task.FailedRuns, Run: task.Run, Checkpoint: task.Checkpoint, HighestVoidRun: task.HighestVoidRun,
-			Crashes: task.Crashes,
+			Crashes: task.Crashes, Doubts: task.Doubts,
 		})
 	})
 	return r
@@ -73,7 +74,7 @@
 		task.Run = max(task.Run, v.Run)
 		task.FailedRuns, task.HighestVoidRun = v.failedRuns(), v.HighestVoidRun
 		task.SaveCheckpoint(0, 0, v.Checkpoint) // earlier builds have one for each member of a gang
-		task.Crashes = v.Crashes
+		task.Crashes, task.Doubts = v.Crashes, v.Doubts
 		for _, c := range v.Crashes {
 			task.Run = max(task.Run, c.Run) // an announced run may have started since
 		}
--- a/steps/track.go
+++ b/steps/track.go
@@ -63,6 +63,9 @@
 	// that a later run has outlasted, and the runs that are announced. Each is listed
 	// once.
 	Crashes []Crash
+	// Doubts has the runs that may be at work, or may start, where nobody can ask. Each is listed
+	// once.
+	Doubts []Doubt
 }
 
 // Held tells whether the subtask must not start yet.
