--- a/owner/doubt.go
+++ b/owner/doubt.go
@@ -86,7 +86,7 @@
 
 // doubtStep is by how much the time left of a stored doubt falls behind before it is stored again:
 // a later owner counts it from its own begin.
-const doubtStep = time.Second
+const doubtStep = 500 * time.Millisecond
 
 // refreshDoubts has the doubts stored again whose time left has become shorter.
 func (o *Owner) refreshDoubts(now time.Time) {
