owner: count a worker's silence on over changes of the owner

What has passed under earlier owners is kept now. While an owner waits, it stores in the roster for how long no owner has given the worker a lease. From then on it gives the worker neither a start nor a lease before a roster without that is stored, and none of its writes is carried out after the next election: so the next owner counts from its election on, less what it finds, whether the earlier one has ended or not. Only lengths are added; clocks of two entries are not compared. An entry counts only if the owner elected just before wrote it: another one in between, also of an earlier build, may have given a lease and left the roster as it was. Entries also remember since when, by their own clocks, they have known for each election that no earlier leader acts, which covers the time in which the pool had no owner.

TestModelHour lists each field that may grow: the two new ones have the bounds 1 and 32. requireRestarted is split in two, with the same checks.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -271,7 +271,8 @@
 		},
 		ReadPlan:   func(ctx context.Context) (owner.PoolPlan, error) { return a.readPoolPlan(ctx, t.Pool) },
 		AskAdvisor: a.advisor.Ask, Advice: a.advice, Proven: a.elector.Proven, ProvenAt: a.elector.ProvenAt,
-		FormerEnded: func() bool { return a.elector.FormerEnded(t) }, Settled: func() { a.elector.Settle(t) }, SinceBoot: sinceBoot,
+		FormerEnded: func() bool { return a.elector.FormerEnded(t) }, Settled: func() { a.elector.Settle(t) },
+		SettledAt: func(term int) (time.Duration, bool) { return a.elector.SettledAt(t.Pool, term) }, SinceBoot: sinceBoot,
 		Clock: a.clock, Log: a.log, Stats: a.stats,
 	})
 	a.addRunner(t, o, stop)
--- a/elect/elect.go
+++ b/elect/elect.go
@@ -101,6 +101,7 @@
 	removedAt    map[string]int64       // the last revision at which a pool was known to have no leader
 	terms        map[string]termCounter // by pool
 	past         map[string]pastValue   // by pool
+	settled      settledTerms
 	// boots has the boot counters that can be read, by entry; publishedBoots is a copy for
 	// other goroutines.
 	boots          map[string]bootCounter
@@ -169,7 +170,7 @@
 		Params: p, messages: make(chan any, 64), coresByEntry: map[string]float64{}, leaders: map[string]leader{},
 		terms: map[string]termCounter{}, vacantSince: map[string]time.Time{}, writePending: map[string]bool{}, held: map[string]Term{},
 		refusedFence: map[string]int64{}, former: map[string]bool{}, removedAt: map[string]int64{},
-		past: map[string]pastValue{}, boots: map[string]bootCounter{},
+		past: map[string]pastValue{}, boots: map[string]bootCounter{}, settled: settledTerms{byPool: map[string][]settledTerm{}},
 	}
 	e.publishBoots()
 	e.provenAt.Store(int64(never))
@@ -378,6 +379,7 @@
 		}
 	}
 	e.publishBoots()
+	e.noteSettled()
 	if e.boots[e.Name].rev > e.boot.rev {
 		e.superseded(e.lease)
 	}
--- a/elect/past.go
+++ b/elect/past.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync"
 	"time"
 
 	"shallotpaddle/plat"
@@ -12,6 +13,9 @@
 const (
 	// maxPast is the largest number of leaders in the key of a pool's past.
 	maxPast = 16
+	// maxSettled is the number of elections of a pool of which an entry remembers when the
+	// leaders before them had ended.
+	maxSettled = 32
 	// settleTries is how often Settle tries its write.
 	settleTries = 4
 	// settleTimeout bounds Settle with all tries.
@@ -88,6 +92,51 @@
 	return true
 }
 
+// settledTerm tells that at a time, by SinceBoot, no leader before an election acted any more.
+type settledTerm struct {
+	number int
+	at     time.Duration
+}
+
+// settledTerms has the settled elections of each pool in order. Its mutex guards it.
+type settledTerms struct {
+	mu     sync.Mutex
+	byPool map[string][]settledTerm
+}
+
+// noteSettled records the elections before which no leader acts any more, as this entry sees now.
+func (e *Elector) noteSettled() {
+	s := &e.settled
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for pool, p := range e.past {
+		if p.Term == 0 || p.Term != e.terms[pool].number || len(p.Leaders) != 1 || p.Leaders[0].Entry == "" {
+			continue
+		}
+		list := s.byPool[pool]
+		if n := len(list); n > 0 && list[n-1].number >= p.Term {
+			continue
+		}
+		if len(list) >= maxSettled {
+			list = list[1:]
+		}
+		s.byPool[pool] = append(list, settledTerm{p.Term, e.SinceBoot()})
+	}
+}
+
+// SettledAt returns the earliest time, by SinceBoot, at which this entry knew that no leader of a
+// pool before an election acted any more; false if it did not. It is safe for concurrent use.
+func (e *Elector) SettledAt(pool string, number int) (time.Duration, bool) {
+	e.settled.mu.Lock()
+	defer e.settled.mu.Unlock()
+	for _, t := range e.settled.byPool[pool] {
+		if t.number >= number {
+			return t.at, true
+		}
+	}
+	return 0, false
+}
+
 // Settle makes it known to later leaders of the pool that none before this one acts any
 // more. It returns at once and does no more than try. It is safe for concurrent use.
 func (e *Elector) Settle(t Term) {
--- a/elect/past_test.go
+++ b/elect/past_test.go
@@ -417,3 +417,39 @@
 		})
 	})
 }
+
+// An entry knows from when on no leader before an election acts: from the settled one or a later
+// one that it has heard of, at the time at which it heard of the first of them.
+func TestSettledAtIsWhenEntryHeardOfIt(t *testing.T) {
+	run(t, func(ctx context.Context, t *testing.T, el *election, _ []string) {
+		b, _ := el.startEntry(ctx, "b", nil)
+		time.Sleep(time.Second)
+		begun := sinceBoot()
+		el.succeed(ctx, t, "a")
+		first, ok := b.SettledAt("p", 1)
+		require.True(t, ok)
+		require.Greater(t, first, begun)
+		_, ok = b.SettledAt("p", 2)
+		require.False(t, ok)
+
+		c, term := el.lead(ctx, t, "c")
+		require.Equal(t, 2, term.Number)
+		_, ok = b.SettledAt("p", 2)
+		require.False(t, ok, "a may still act")
+		c.Settle(term)
+		time.Sleep(time.Second)
+		second, ok := b.SettledAt("p", 2)
+		require.True(t, ok)
+		require.GreaterOrEqual(t, second, sinceBoot()-time.Second)
+		again, _ := b.SettledAt("p", 1)
+		require.Equal(t, first, again)
+
+		d, _ := el.startEntry(ctx, "d", nil)
+		time.Sleep(time.Second)
+		late, ok := d.SettledAt("p", 1)
+		require.True(t, ok)
+		require.Greater(t, late, second, "an entry that starts later knows of no earlier time")
+		_, ok = d.SettledAt("p", 3)
+		require.False(t, ok)
+	})
+}
--- a/owner/charge.go
+++ b/owner/charge.go
@@ -111,7 +111,7 @@
 // leaseOver reports whether every lease on a worker has expired for certain, and no later owner
 // can have extended one before: none had been elected by then.
 func (o *Owner) leaseOver(h *host, now time.Time) bool {
-	from, proven := o.leasesFrom(now), now.Add(o.provenAt-o.roundAt)
+	from, proven := o.silentSince(h, now), now.Add(o.provenAt-o.roundAt)
 	return h.leaseExpired(now, from) && h.leaseExpired(proven.Add(leaseSlack), from)
 }
 
--- a/owner/host.go
+++ b/owner/host.go
@@ -27,7 +27,14 @@
 	givenUp bool
 	// inherited tells that an earlier owner has stored the worker in the roster.
 	inherited bool
-	startedMs int64
+	// silentSince is since when no owner can have given the worker a lease, by the roster that
+	// the owner before this one has left, and silentFrom the election from whose owner on none
+	// has; zero if that is not known. storedSilence is the silence that this owner has last
+	// encoded in the roster; 0 if it has encoded none.
+	silentSince   time.Time
+	silentFrom    int
+	storedSilence time.Duration
+	startedMs     int64
 	// claim is the worker's registration if that contradicts the worker, else nil.
 	claim *claim
 	// unreadable tells that the worker is registered, and its registration can't be used.
@@ -157,7 +164,7 @@
 
 // leaseExpired reports whether every lease on the worker has expired for certain.
 // A worker that has not answered this owner may have a lease of an earlier owner, which
-// ends by a lower bound of the worker's clock at most leaseHorizon after leasesFrom.
+// ends by a lower bound of the worker's clock at most leaseHorizon after leasesFrom, its silentSince.
 func (h *host) leaseExpired(now, leasesFrom time.Time) bool {
 	from, lease := leasesFrom, max(leaseHorizon, h.longerLease)
 	if h.answered {
@@ -264,7 +271,7 @@
 // loseIncarnation removes a worker that has crashed, or was given up.
 func (o *Owner) loseIncarnation(h *host, why string) {
 	if o.mayHaveEarlierRuns(h) && !h.answered && !o.takeoverDone {
-		o.missing = append(o.missing, h.rosterEntry())
+		o.missing = append(o.missing, o.rosterEntry(h, o.Clock.Now()))
 	}
 	if h.listed && !o.inRoster(h) {
 		o.noteRefused(h, o.Clock.Now())
--- a/owner/lapse.go
+++ b/owner/lapse.go
@@ -52,7 +52,7 @@
 	if l, ok := o.lapsed[h.id]; ok {
 		return l.startedMs == h.startedMs
 	}
-	return h.inherited && !h.formerLease && h.leaseExpired(m.sent, o.leasesFrom(o.Clock.Now()))
+	return h.inherited && !h.formerLease && h.leaseExpired(m.sent, o.silentSince(h, o.Clock.Now()))
 }
 
 // recordLapse records the ends of a report after which the worker's lease has lapsed. over
--- a/owner/modelhour_test.go
+++ b/owner/modelhour_test.go
@@ -54,6 +54,9 @@
 	mostSteps, mostTasks = 3, 5
 	// mostNamed is the number of workers that an owner names in a line.
 	mostNamed = 8
+	// mostSettled is the number of elections of which an entry remembers since when no earlier
+	// leader acts.
+	mostSettled = 32
 	// hourEntries is the number of entries, and mostCalls the number of goroutines for which an
 	// entry has a reason beside those for its workers and their runs.
 	hourEntries, mostCalls = 3, 20
--- a/owner/modelhourmarks_test.go
+++ b/owner/modelhourmarks_test.go
@@ -182,6 +182,7 @@
 		"elect.Elector.held": 1, "elect.Elector.former": 1, "elect.Elector.refusedFence": 1, "elect.Elector.vacantSince": 0, "elect.Elector.writePending": 0,
 		// Of each entry, only its last leadership may last.
 		"elect.pastValue.Leaders": hourEntries, "elect.Term.former": hourEntries,
+		"elect.settledTerms.byPool": 1, "elect.settledTerms.byPool value": mostSettled,
 	}
 }
 
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -82,6 +82,9 @@
 	// Settled records that none of them acts any more.
 	FormerEnded func() bool
 	Settled     func()
+	// SettledAt returns the earliest time, by SinceBoot, at which this entry knew that no owner
+	// before the given election acted any more; false if it did not.
+	SettledAt func(term int) (time.Duration, bool)
 	// SinceBoot returns the time since some moment, including the time for which the host
 	// was suspended.
 	SinceBoot func() time.Duration
@@ -183,6 +186,8 @@
 	// not known. formerWarned tells that the log says so.
 	formerOver   time.Time
 	formerWarned bool
+	// silenceStoredAt is when the silence of workers was last encoded, or the roster queued for it.
+	silenceStoredAt time.Time
 	// restartsWait tells that in the last scheduling pass a subtask waited until its record
 	// is stored.
 	restartsWait bool
@@ -363,6 +368,7 @@
 		}
 	}
 	o.forgetUnanswered(now)
+	o.storeSilence(now)
 	o.updateVoters(now)
 	o.retryOrders(now)
 	o.pollHosts(now)
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -72,7 +72,7 @@
 		// owner has read.
 		n.AckedThrough = h.ackable
 	}
-	if h.answered && h.failingSince.IsZero() && h.needsLease() && o.inCharge() {
+	if h.answered && h.failingSince.IsZero() && h.needsLease() && o.mayLease(h) {
 		// The lease of a worker that does not answer is not extended: otherwise each
 		// poll would postpone the time at which it expires.
 		n.UntilMs = h.workerClock(now) + o.leaseLength().Milliseconds()
--- a/owner/pool_test.go
+++ b/owner/pool_test.go
@@ -95,6 +95,7 @@
 // entry is one process that takes part in the pool's election.
 type entry struct {
 	name      string
+	parent    context.Context // of the entry's own
 	stop      context.CancelFunc
 	elect     *elect.Elector
 	owner     *owner.Owner // nil unless elected
@@ -247,8 +248,9 @@
 
 // startEntry starts an entry, which takes part in the pool's election.
 func (pool *testPool) startEntry(ctx context.Context, name string) {
+	parent := ctx
 	ctx, stop := context.WithCancel(ctx)
-	e := &entry{name: name, stop: stop, turn: pool.turn, line: pool.line}
+	e := &entry{name: name, parent: parent, stop: stop, turn: pool.turn, line: pool.line}
 	if e.turn == nil {
 		e.turn, e.line = fakes.NewAdvisorTurn(), advice.New(quartz.NewReal())
 	}
@@ -345,7 +347,7 @@
 		Bounds:     owner.Bounds{MaxLease: holdMax, StopTime: 200 * time.Millisecond, Drain: 2 * time.Second, StatusRetention: pool.retention},
 		Store:      owner.Store{List: store.List, Watch: store.Watch, Commit: store.Commit},
 		Workers:    pool.orders(e),
-		AskAdvisor: pool.workers.AskIn(e.turn), Advice: e.line, Proven: e.elect.Proven, ProvenAt: pool.provenAt(e), FormerEnded: func() bool { return pool.formerEnded(e, t) }, Settled: func() { e.elect.Settle(t) }, SinceBoot: func() time.Duration { return time.Duration(time.Now().UnixNano()) },
+		AskAdvisor: pool.workers.AskIn(e.turn), Advice: e.line, Proven: e.elect.Proven, ProvenAt: pool.provenAt(e), FormerEnded: func() bool { return pool.formerEnded(e, t) }, Settled: func() { e.elect.Settle(t) }, SettledAt: func(term int) (time.Duration, bool) { return e.elect.SettledAt(poolName, term) }, SinceBoot: func() time.Duration { return time.Duration(time.Now().UnixNano()) },
 		ReadPlan: func(context.Context) (owner.PoolPlan, error) {
 			pool.mu.Lock()
 			defer pool.mu.Unlock()
--- a/owner/record.go
+++ b/owner/record.go
@@ -31,11 +31,12 @@
 
 // logBelief adds to a line what the owner knows of a worker's lease: whether the worker has
 // answered this owner, what the end of the lease is counted from, and how long ago that was:
-// "earlier owners" are those that gave leases until then.
+// "earlier owners" are those that gave leases until then; silentFrom is the election of the first
+// owner that is known to have given none, 0 if that is this one.
 func (o *Owner) logBelief(line *log.Entry, h *host, now time.Time) *log.Entry {
 	line = o.identify(line).Bool("answered", h.answered).Dur("sincePolls", now.Sub(o.pollsSince))
 	if !h.answered {
-		return line.Str("leaseFrom", "earlier owners").Dur("sinceFormer", now.Sub(o.leasesFrom(now)))
+		return line.Str("leaseFrom", "earlier owners").Dur("sinceFormer", now.Sub(o.silentSince(h, now))).Int("silentFrom", h.silentFrom)
 	}
 	return line.Str("leaseFrom", "last answer").Dur("sinceAnswer", now.Sub(h.clockAt)).
 		Dur("leaseLength", time.Duration(h.leaseUntil-h.clock)*time.Millisecond)
--- a/owner/roster.go
+++ b/owner/roster.go
@@ -24,6 +24,12 @@
 	// LeaseMs is the time left of the worker's lease, in milliseconds of its clock, if it may
 	// outlast those that owners give: a late order to an earlier incarnation has extended it.
 	LeaseMs int64 `json:"lease,omitempty"`
+	// SilentMs tells for how long, in milliseconds, no owner had given the worker a lease when
+	// the entry was written by the owner elected in SilentTerm; 0 if that is not known.
+	SilentMs   int64 `json:"silent,omitempty"`
+	SilentTerm int   `json:"silentTerm,omitempty"`
+	// SilentFrom is the election from whose owner on none has given the worker a lease.
+	SilentFrom int `json:"silentFrom,omitempty"`
 	// Lapsed tells that the worker was given up as its lease was over, and that nothing has
 	// run there since.
 	Lapsed bool `json:"lapsed,omitempty"`
@@ -69,7 +75,7 @@
 }
 
 func (o *Owner) encodeRoster() []byte {
-	list := append(make([]rosterEntry, 0, len(o.hosts)), o.missing...)
+	list, now := append(make([]rosterEntry, 0, len(o.hosts)), o.missing...), o.Clock.Now()
 	for i := range list {
 		h := o.hosts[list[i].ID]
 		list[i].Lost = h != nil && o.inRoster(h)
@@ -77,9 +83,9 @@
 	for _, h := range o.hosts {
 		if o.inRoster(h) {
 			if h.answered {
-				h.updateLongerLease(o.Clock.Now())
+				h.updateLongerLease(now)
 			}
-			list = append(list, h.rosterEntry())
+			list = append(list, o.rosterEntry(h, now))
 		}
 	}
 	slices.SortFunc(list, func(a, b rosterEntry) int {
@@ -143,6 +149,7 @@
 			}
 			h := newHost(hosts.Worker{ID: e.ID, Pool: o.Pool, Address: e.Address, StartedMs: e.StartedMs})
 			h.inherited, h.longerLease = true, time.Duration(e.LeaseMs)*time.Millisecond
+			o.inheritSilence(h, &e)
 			o.hosts[e.ID] = h
 		}
 	}
--- a/owner/takeovertime_test.go
+++ b/owner/takeovertime_test.go
@@ -191,6 +191,15 @@
 // the rest go on.
 func (p *loadedPool) requireRestarted(t *testing.T, all, rest map[runs.Task]string) {
 	t.Helper()
+	took := p.untilRestarted(all)
+	t.Logf("all run again after %s", took)
+	assert.LessOrEqual(t, took, maxLost, "LOST")
+	assert.Empty(t, p.stoppedRuns(rest, time.Second), "LOST")
+}
+
+// untilRestarted returns the time until the given runs, or later ones of their subtasks, are at
+// work on workers that can be reached, at most a minute.
+func (p *loadedPool) untilRestarted(all map[runs.Task]string) time.Duration {
 	begun := time.Now()
 	back := func() bool {
 		now, n := p.workers.Running(), 0
@@ -204,9 +213,7 @@
 	for !back() && time.Since(begun) < time.Minute {
 		time.Sleep(10 * time.Millisecond)
 	}
-	t.Logf("all run again after %s", time.Since(begun))
-	assert.LessOrEqual(t, time.Since(begun), maxLost, "LOST")
-	assert.Empty(t, p.stoppedRuns(rest, time.Second), "LOST")
+	return time.Since(begun)
 }
 
 // LOST: in a pool of two workers, the one that was left is no majority, and the next owner
--- a/owner/unproven.go
+++ b/owner/unproven.go
@@ -58,7 +58,7 @@
 	delete(o.refusals, h.id)
 	delete(o.lapsed, h.id)
 	o.electorates.changed = true
-	if h.inherited {
+	if h.inherited && h.storedSilence == 0 {
 		return
 	}
 	o.markChanged(o.roster)
