owner: ages of keys outlast the owner

Ended jobs, cancellations of jobs that are gone and workers that were given up stayed in the store for ever if each owner lasted less long than they are kept: each counted their ages from its own begin.

A pool now has a stored clock, package aging: it counts while an owner runs it, goes on at the stored reading under the next one, and has marks of the revisions that the store had reached at a reading. A key whose revision is not above a mark was written before it. The clock never runs ahead, so that no key is removed early; no time of day is compared. It is stored with another write of the pool, at most each 0.5 s, or by itself each 10 s while the pool has anything to age. A worker that is forgotten leaves the roster at once.

TestModelHour gets bounds for the new key and its marks.

--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"maps"
 	"slices"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"shallotpaddle/plat"
 	"shallotpaddle/runs"
 	"shallotpaddle/shift"
@@ -25,6 +28,8 @@
 	activeTasks int
 	lastStart   time.Time // of a run of the job
 	endedAt     time.Time // when this owner learned that the job has ended
+	// endedRev is the revision of a record, read at the takeover, that the job has ended; 0 without one.
+	endedRev int64
 	// longRunning is true if the job's subtasks run until the job is cancelled.
 	longRunning bool
 	// restartVersion is the version of the record that lists all void runs and those under
@@ -57,10 +62,15 @@
 }
 
 func (o *Owner) loadState(ctx context.Context) (int64, error) {
+	var g errgroup.Group
+	var ages []plat.Item
+	g.Go(func() (err error) { ages, _, err = o.Store.List(ctx, o.agesDoc.key); return err })
 	items, rev, err := o.Store.List(ctx, JobPrefix(o.Pool))
-	if err != nil {
+	if err := errors.Join(err, g.Wait()); err != nil {
 		return 0, err
 	}
+	o.applyAges(ages)
+	o.ages.Note(rev, o.Clock.Now())
 	states, _, err := o.Store.List(ctx, statePrefix(o.Pool))
 	if err != nil {
 		return 0, err
@@ -111,6 +121,7 @@
 	}
 	if j.progress.Outcome != steps.Open {
 		o.closeJob(j)
+		j.endedRev = state.Rev
 	}
 }
 
@@ -123,9 +134,12 @@
 		return // only owners remove jobs
 	}
 	if cancel {
-		if _, known := o.cancelRequests[id]; !known {
-			o.cancelRequests[id] = o.Clock.Now()
+		r, known := o.cancelRequests[id]
+		if !known {
+			r.since = o.Clock.Now()
 		}
+		r.rev = max(r.rev, it.Rev)
+		o.cancelRequests[id] = r
 		if watched {
 			o.cancelJob(id)
 		}
@@ -355,10 +369,10 @@
 		return
 	}
 	t := plat.Txn{Expect: []plat.Condition{{Key: o.ElectionKey, Rev: o.Fence}}}
-	keep := o.Bounds.StatusRetention + removalDelay
+	keep := o.endedKept()
 	var removed []string
 	for id, j := range o.jobs {
-		if j.endedAt.IsZero() || j.activeTasks > 0 || now.Sub(j.endedAt) < keep {
+		if j.endedAt.IsZero() || j.activeTasks > 0 || now.Sub(j.endedAt) < keep && !o.writtenBefore(j.endedRev, now) {
 			continue
 		}
 		removed = append(removed, id)
@@ -367,11 +381,11 @@
 			break
 		}
 	}
-	for id, since := range o.cancelRequests {
+	for id, r := range o.cancelRequests {
 		if len(removed) >= maxRemovals {
 			break
 		}
-		if o.jobs[id] == nil && now.Sub(since) >= keep {
+		if o.jobs[id] == nil && (now.Sub(r.since) >= keep || o.writtenBefore(r.rev, now)) {
 			removed = append(removed, id)
 			t.Remove = append(t.Remove, CancelKey(o.Pool, id), FormerCancelKey(o.Pool, id))
 		}
--- a/owner/lapse.go
+++ b/owner/lapse.go
@@ -12,7 +12,7 @@
 // it lists when it answers again has ended later than that.
 type lapsedLease struct {
 	startedMs int64
-	since     time.Time // when it was given up, or read from the roster
+	since     time.Time // when it was given up, or later if an earlier owner did
 }
 
 const (
@@ -39,6 +39,7 @@
 	for id, l := range o.lapsed {
 		if now.Sub(l.since) > maxLapsedAge {
 			delete(o.lapsed, id)
+			o.markChanged(o.roster)
 		}
 	}
 }
@@ -163,7 +164,7 @@
 func (o *Owner) lapsedEntries() []rosterEntry {
 	out := make([]rosterEntry, 0, len(o.lapsed))
 	for id, l := range o.lapsed {
-		out = append(out, rosterEntry{ID: id, StartedMs: l.startedMs, Lapsed: true})
+		out = append(out, rosterEntry{ID: id, StartedMs: l.startedMs, Lapsed: true, LapsedMs: o.ages.Reading(l.since).Milliseconds()})
 	}
 	slices.SortFunc(out, func(a, b rosterEntry) int {
 		if a.ID < b.ID {
--- a/owner/modelhour_test.go
+++ b/owner/modelhour_test.go
@@ -52,6 +52,8 @@
 	mostAttempts, mostCrashes = 3, 8
 	// mostSteps is the number of steps of a job, and mostTasks the number of subtasks of a step.
 	mostSteps, mostTasks = 3, 5
+	// mostAgeMarks is the number of marks of the clock of the pool.
+	mostAgeMarks = 10
 	// mostNamed is the number of workers that an owner names in a line.
 	mostNamed = 8
 	// hourEntries is the number of entries, and mostCalls the number of goroutines for which an
--- a/owner/modelhourmarks_test.go
+++ b/owner/modelhourmarks_test.go
@@ -170,6 +170,7 @@
 		"owner.job.advice": 0, "owner.silentWorkers.ids": mostNamed, "owner.writer.queue": len(l.keep) + 3,
 		"shift.Inflow.arrivals":      l.arrivals,
 		"steps.Progress.occurrences": heldJobs, "steps.occurrence.tasks": heldSteps, "steps.occurrence.unfinished": heldSteps, "steps.occurrence.tasks element": heldTasks,
+		"aging.Clock.marks":     mostAgeMarks,
 		"steps.Task.FailedRuns": mostAttempts * heldTasks, "steps.Task.Crashes": mostCrashes * heldTasks,
 	}
 }
@@ -224,6 +225,8 @@
 			var d owner.Digest
 			assert.NoError(t, json.Unmarshal(it.Value, &d))
 			checkSizes(t, it.Key, sizesOf(d), l.ofOwner(0))
+		case "age":
+			assert.Less(t, len(it.Value), 400, "clock of the pool")
 		case "seat/past":
 			var v struct {
 				Entries []json.RawMessage `json:"entries"`
--- a/owner/oddentry_test.go
+++ b/owner/oddentry_test.go
@@ -79,3 +79,15 @@
 	require.Equal(t, []string{"5c0e7a21d94b36f8"}, slices.Sorted(maps.Keys(o.jobs)))
 	require.Len(t, o.openJobs, 1)
 }
+
+// A stored clock that can't be read begins anew, and is written over.
+func TestOddClock(t *testing.T) {
+	for name, value := range oddDocuments {
+		o := newReader(plat.Item{Key: agesKey("a"), Value: []byte(value), Rev: 7})
+		_, err := o.loadState(t.Context())
+		require.NoError(t, err, name)
+		require.Equal(t, int64(7), o.agesDoc.rev, name)
+		require.Less(t, o.ages.Reading(o.Clock.Now()), time.Minute, name)
+		require.False(t, o.writtenBefore(1, o.Clock.Now()), name)
+	}
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -19,6 +19,7 @@
 	"github.com/phuslu/log"
 
 	"shallotpaddle/advice"
+	"shallotpaddle/aging"
 	"shallotpaddle/hosts"
 	"shallotpaddle/pack"
 	"shallotpaddle/plat"
@@ -106,9 +107,9 @@
 	pollsSince     time.Time       // when the first polls were sent
 	hosts          map[string]*host
 	jobs           map[string]*job
-	openJobs       []*job               // jobs not ended, by rank, then by time of acceptance
-	cancelRequests map[string]time.Time // when each was first read, by job ID; the job may not be known yet
-	removed        map[string]removal   // jobs that were removed from the store lately, by ID
+	openJobs       []*job                   // jobs not ended, by rank, then by time of acceptance
+	cancelRequests map[string]cancelRequest // by job ID
+	removed        map[string]removal       // jobs that were removed from the store lately, by ID
 	writer         writer
 	roster         *doc // the stored list of workers that may have runs of the pool
 	voters         *doc // the stored list of workers that prove who is in charge
@@ -142,6 +143,12 @@
 	silent    silentWorkers
 	refusals  map[string]*refusal    // by worker ID
 	lapsed    map[string]lapsedLease // by worker ID
+
+	// ages tells how long ago keys were written under earlier owners. It is stored as agesDoc,
+	// last at agesStoredAt.
+	ages         *aging.Clock
+	agesDoc      *doc
+	agesStoredAt time.Time
 	// withheld is the number of ends that are withheld from workers, and resting the number of
 	// workers that rest.
 	withheld, resting int
@@ -204,13 +211,15 @@
 func New(p Params) *Owner {
 	o := &Owner{
 		Params: p, inbox: make(chan any, inboxSize), done: make(chan struct{}), hosts: map[string]*host{}, jobs: map[string]*job{},
-		cancelRequests: map[string]time.Time{}, removed: map[string]removal{}, forecasts: map[string]*pack.Forecast{}, inflows: map[string]*shift.Inflow{}, unanswered: map[string][]*unansweredStart{}, lateOrders: map[string][]*lateOrders{}, trialHosts: map[*steps.Task]*host{}, strays: map[*steps.Task]int{}, refusals: map[string]*refusal{}, lapsed: map[string]lapsedLease{},
+		cancelRequests: map[string]cancelRequest{}, removed: map[string]removal{}, forecasts: map[string]*pack.Forecast{}, inflows: map[string]*shift.Inflow{}, unanswered: map[string][]*unansweredStart{}, lateOrders: map[string][]*lateOrders{}, trialHosts: map[*steps.Task]*host{}, strays: map[*steps.Task]int{}, refusals: map[string]*refusal{}, lapsed: map[string]lapsedLease{},
 		queues: map[string]*queueAdvice{},
 	}
 	o.seat = p.Advice.Join(func() { o.post(turnGranted{}) }, func() { o.post(turnRecalled{}) })
 	o.roster = &doc{key: rosterKey(p.Pool), encode: o.encodeRoster}
 	o.voters = &doc{key: votersKey(p.Pool), encode: o.encodeVoters}
 	o.digest = &doc{key: DigestKey(p.Pool), encode: o.encodeDigest}
+	o.agesDoc = &doc{key: agesKey(p.Pool), encode: o.encodeAges}
+	o.ages = aging.New(o.endedKept(), p.Clock.Now())
 	return o
 }
 
@@ -368,6 +377,7 @@
 	o.pollHosts(now)
 	o.updateDigest(now)
 	o.removeEndedJobs(now)
+	o.updateAges(now)
 	o.flush(now)
 	return max(min(next, o.untilNextDue(now)), time.Millisecond)
 }
--- a/owner/roster.go
+++ b/owner/roster.go
@@ -27,6 +27,8 @@
 	// Lapsed tells that the worker was given up as its lease was over, and that nothing has
 	// run there since.
 	Lapsed bool `json:"lapsed,omitempty"`
+	// LapsedMs is the reading of the pool's clock at which that was.
+	LapsedMs int64 `json:"lapsedAt,omitempty"`
 }
 
 // formerRecords is what an earlier owner has stored besides the jobs.
@@ -134,7 +136,7 @@
 		}
 		for _, e := range list {
 			if e.Lapsed {
-				o.lapsed[e.ID] = lapsedLease{e.StartedMs, o.Clock.Now()}
+				o.lapsed[e.ID] = lapsedLease{e.StartedMs, o.lapsedSince(&e)}
 				continue
 			}
 			if e.Lost {
--- a/owner/writer.go
+++ b/owner/writer.go
@@ -95,6 +95,7 @@
 	if m.err == nil {
 		o.writer.failures = 0
 		o.noteProof(m.begun)
+		o.ages.Note(m.rev, o.Clock.Now())
 		o.noteRemoved(m)
 		for i, d := range m.docs {
 			d.rev = m.rev
@@ -145,7 +146,7 @@
 
 // docs returns all documents of the owner.
 func (o *Owner) docs() []*doc {
-	out := []*doc{o.roster, o.voters, o.digest}
+	out := []*doc{o.roster, o.voters, o.digest, o.agesDoc}
 	for _, j := range o.jobs {
 		out = append(out, &j.doc)
 	}
