agent: a cancellation answered 410 holds without a lease

The cancellation of a job that the store does not have was kept under a lease of the entry that answered 410. The store took the keys of that lease away when it turned the entry away for a second, and a hand-in that arrived 5 s later was accepted.

The key has no lease any more. The entry that leads the fleet removes these keys once they are as old as the state of an ended job is kept, by a stored clock (package aging): neither a time of day nor the life of an entry decides. Each removal is conditional on the revisions that were read, so that one that comes late, or from an entry that was suspended, doesn't remove a cancellation that was stored again. The bound of 5 min on the time for which they are kept came from the longest lease, and is gone.

TestCancellationUnderEndedLease, by which the entry got another lease, is replaced by that row: what was stored before must hold too. TestCancellationIsKeptAndRemoved asks for removal after 40 s more, in place of 130 s, with one sweeper, and has rows with sweepers that change.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -294,7 +294,15 @@
 	a.runners[t.Pool] = &runner{o, t.Fence, stop}
 }
 
-// startController runs the fleet controller for a term.
+// newSweeper returns what removes old cancellations. One entry runs it at a time, to save calls.
+func (a *Agent) newSweeper() *sweeper {
+	return &sweeper{
+		list: a.store.List, commit: a.writer.Commit, pause: a.pause, clock: a.clock, log: a.log,
+		keep: a.jobAPI.cancelled.keepTime, removed: metrics.GetOrRegisterCounter("desk.cancelled.removed", a.registry),
+	}
+}
+
+// startController runs the fleet controller, and the sweeper, for a term.
 func (a *Agent) startController(ctx context.Context, t elect.Term) {
 	run, stop := context.WithCancel(ctx)
 	s := fleet.New(fleet.Params{
@@ -304,6 +312,7 @@
 		WaveStatus: platform.WaveStatus,
 	})
 	a.addRunner(t, nil, stop)
+	go a.newSweeper().run(run)
 	go func() {
 		defer stop()
 		if err := s.Run(run); errors.Is(err, fleet.ErrDeposed) {
--- a/agent/cancel.go
+++ b/agent/cancel.go
@@ -13,10 +13,8 @@
 const (
 	// cancelledPrefix is the prefix of the keys of cancellations whose jobs were not in the store.
 	cancelledPrefix = "cancelled/"
-	// minCancelledTime and maxCancelledTime limit the time for which such a cancellation is kept.
-	// The store grants leases of ten minutes at most, and a lease is twice as long.
+	// minCancelledTime is the shortest time for which such a cancellation is kept.
 	minCancelledTime = time.Minute
-	maxCancelledTime = 5 * time.Minute
 	// cancelledSlack is added to the time for which the state of an ended job is kept.
 	cancelledSlack = 10 * time.Second
 	// cancelledGap is the pause after a write of such cancellations: those that arrive
@@ -34,23 +32,15 @@
 
 // cancelled stores cancellations of jobs that the store does not have. Their hand-ins may be
 // under way: each is stored on condition that its job has no such cancellation. The keys
-// are under leases that nobody renews, so that the store removes them, and that do not end with
-// the entry.
+// have no lease, as the store may end the leases of an entry at any time; a sweeper removes them.
 type cancelled struct {
-	sinceBoot func() time.Duration // counts suspensions
 	pause     func(ctx context.Context, d time.Duration)
 	commit    func(ctx context.Context, t plat.Txn) ([]plat.Item, error)
-	grant     func(ctx context.Context, ttl time.Duration) (int64, error)
 	retention func() time.Duration // of the state of an ended job
 
 	mu      sync.Mutex
 	next    *cancelledBatch // to be written next, nil if none waits
 	writing bool            // a goroutine writes batches
-
-	// lease is that of the batches, granted at grantedAt; 0 for none. Only the goroutine that
-	// writes uses them.
-	lease     int64
-	grantedAt time.Duration
 }
 
 // cancelledBatch is a set of cancellations that share a write. err is set before done is closed.
@@ -62,7 +52,7 @@
 
 // keepTime returns how long a cancellation is kept at least.
 func (c *cancelled) keepTime() time.Duration {
-	return min(max(c.retention()+cancelledSlack, minCancelledTime), maxCancelledTime)
+	return max(c.retention()+cancelledSlack, minCancelledTime)
 }
 
 // store returns once the cancellation of a job is stored: a hand-in of the job that is
@@ -121,43 +111,16 @@
 }
 
 // put stores cancellations. The keys have no conditions: an earlier cancellation of the same job may
-// be about to end.
+// be about to be removed.
 func (c *cancelled) put(ctx context.Context, ids []string) error {
-	err := c.putOnce(ctx, ids)
-	if errors.Is(err, plat.ErrNotFound) {
-		c.lease = 0 // it has ended
-		err = c.putOnce(ctx, ids)
-	}
-	return err
-}
-
-func (c *cancelled) putOnce(ctx context.Context, ids []string) error {
-	if err := c.renewLease(ctx); err != nil {
-		return err
-	}
 	t := plat.Txn{}
 	for _, id := range ids {
-		t.Puts = append(t.Puts, plat.Put{Key: cancelledKey(id), Value: []byte(`{}`), Lease: c.lease})
+		t.Puts = append(t.Puts, plat.Put{Key: cancelledKey(id), Value: []byte(`{}`)})
 	}
 	_, err := c.commit(ctx, t)
 	return err
 }
 
-// renewLease replaces the lease once it is too short for another cancellation.
-func (c *cancelled) renewLease(ctx context.Context) error {
-	keep := c.keepTime()
-	begun := c.sinceBoot()
-	if c.lease != 0 && begun-c.grantedAt < keep {
-		return nil
-	}
-	id, err := c.grant(ctx, 2*keep)
-	if err != nil {
-		return err
-	}
-	c.lease, c.grantedAt = id, begun
-	return nil
-}
-
 // onlyCancelled reports whether, of the keys in the items of a conflict, only the cancellation of a
 // job exists, so that the job was not stored.
 func onlyCancelled(items []plat.Item, id string) bool {
--- a/agent/cancel_test.go
+++ b/agent/cancel_test.go
@@ -10,10 +10,15 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/coder/quartz"
+	"github.com/phuslu/log"
+	metrics "github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
+	"shallotpaddle/elect"
 	"shallotpaddle/fakes"
 	"shallotpaddle/fakes/site"
+	"shallotpaddle/fleet"
 	"shallotpaddle/owner"
 	"shallotpaddle/plat"
 	"shallotpaddle/platform"
@@ -95,7 +100,8 @@
 				p.handIn.version.Store(&v)
 			},
 		},
-		"cancelled twice": {after: func(p *entryPair) { require.Equal(t, platform.Absent, p.delete(cancelledJob).Outcome) }},
+		"the store has ended all leases": {after: func(p *entryPair) { p.kv.EndLeases() }},
+		"cancelled twice":                {after: func(p *entryPair) { require.Equal(t, platform.Absent, p.delete(cancelledJob).Outcome) }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -177,58 +183,106 @@
 
 func newCancelledRig() *cancelledRig {
 	r := &cancelledRig{kv: fakes.NewKV()}
-	begun := time.Now()
 	r.cancelled = &cancelled{
-		sinceBoot: func() time.Duration { return time.Since(begun) },
-		pause:     func(_ context.Context, d time.Duration) { time.Sleep(d) },
+		pause: pauseFor,
 		commit: func(ctx context.Context, t plat.Txn) ([]plat.Item, error) {
 			_, items, err := r.kv.Commit(ctx, t)
 			return items, err
 		},
-		grant: r.kv.Grant, retention: func() time.Duration { return 2 * time.Minute },
+		retention: func() time.Duration { return 2 * time.Minute },
 	}
 	return r
 }
 
+// pauseFor waits for d, or until the context ends.
+func pauseFor(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
 func (r *cancelledRig) has(id string) bool {
 	_, ok := r.kv.Peek(cancelledKey(id))
 	return ok
 }
 
-// A cancellation outlives its entry and the state of an ended job, and leaves nothing behind.
-func TestCancellationIsKeptAndRemoved(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		r := newCancelledRig()
-		for i := range 60 { // over several leases
-			id := fmt.Sprintf("%016x", i)
-			require.NoError(t, r.store(t.Context(), id))
-			time.AfterFunc(r.keepTime(), func() { require.True(t, r.has(id), id) })
-			time.Sleep(7 * time.Second)
+// sweep runs one sweeper after another until the context ends, each for a time, with a pause between.
+func (r *cancelledRig) sweep(ctx context.Context, each, gap time.Duration) {
+	for ctx.Err() == nil {
+		run, end := context.WithTimeout(ctx, each)
+		s := &sweeper{
+			list: r.kv.List, commit: r.kv.Commit, pause: pauseFor, clock: quartz.NewReal(), log: &log.Logger{Level: log.PanicLevel},
+			keep: r.keepTime, removed: metrics.NewCounter(),
 		}
-		require.NoError(t, r.store(t.Context(), cancelledJob))
-		time.Sleep(r.keepTime() - time.Second)
-		require.NoError(t, r.store(t.Context(), cancelledJob))
-		time.Sleep(r.keepTime())
-		require.True(t, r.has(cancelledJob), "the second cancellation holds as long as the first")
-		time.Sleep(2 * r.keepTime())
-		items, _, err := r.kv.List(t.Context(), cancelledPrefix)
-		require.NoError(t, err)
-		require.Empty(t, items)
-	})
+		s.run(run)
+		end()
+		pauseFor(ctx, gap)
+	}
 }
 
-// A lease that the store has ended early is replaced.
-func TestCancellationUnderEndedLease(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		r := newCancelledRig()
-		require.NoError(t, r.store(t.Context(), "a"))
-		r.kv.EndLease(r.lease)
-		require.False(t, r.has("a"))
-		time.Sleep(time.Second)
-		require.NoError(t, r.store(t.Context(), "b"))
-		require.True(t, r.has("b"))
-		time.Sleep(cancelledGap)
-	})
+// A cancellation outlives its entry and the state of an ended job, and leaves nothing behind,
+// although each sweeper lasts less long than it is kept.
+func TestCancellationIsKeptAndRemoved(t *testing.T) {
+	for name, v := range map[string]struct {
+		each, gap time.Duration
+		// lag is how much longer than at least a cancellation may be kept.
+		lag time.Duration
+	}{
+		"one sweeper":        {each: 24 * time.Hour, lag: 40 * time.Second},
+		"sweepers of 61 s":   {each: 61 * time.Second, gap: time.Second, lag: 60 * time.Second},
+		"sweepers of 25 s":   {each: 25 * time.Second, gap: time.Second, lag: 130 * time.Second},
+		"nobody for minutes": {each: 3 * time.Minute, gap: 3 * time.Minute, lag: 8 * time.Minute},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newCancelledRig()
+				ctx, end := context.WithCancel(t.Context())
+				go r.sweep(ctx, v.each, v.gap)
+				for i := range 60 {
+					id := fmt.Sprintf("%016x", i)
+					require.NoError(t, r.store(t.Context(), id))
+					time.AfterFunc(r.keepTime(), func() { require.True(t, r.has(id), id) })
+					time.AfterFunc(r.keepTime()+v.lag, func() { require.False(t, r.has(id), id) })
+					time.Sleep(7 * time.Second)
+				}
+				require.NoError(t, r.store(t.Context(), cancelledJob))
+				time.Sleep(r.keepTime() - time.Second)
+				require.NoError(t, r.store(t.Context(), cancelledJob))
+				time.Sleep(r.keepTime())
+				require.True(t, r.has(cancelledJob), "the second cancellation holds as long as the first")
+				time.Sleep(v.lag)
+				items, _, err := r.kv.List(t.Context(), cancelledPrefix)
+				require.NoError(t, err)
+				require.Empty(t, items)
+				calls := r.kv.Calls()
+				time.Sleep(time.Hour)
+				require.Equal(t, calls["commit"], r.kv.Calls()["commit"], "writes without any cancellation")
+				end()
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
+// UNASKED: what an entry has answered hung on its lease, which the store may end at any time. Only
+// what ends with the entry may.
+func TestOnlyLeadershipsEndWithLeases(t *testing.T) {
+	t.Parallel()
+	p := newEntryPair(t)
+	ctx, end := context.WithCancel(t.Context())
+	defer end()
+	p.handIn.elector = p.handIn.newElector(ctx)
+	go p.handIn.elector.Run(ctx)
+	p.handIn.elector.SetPools([]string{fleet.ElectionName})
+	require.Equal(t, platform.Absent, p.delete(cancelledJob).Outcome)
+	require.Equal(t, platform.Done, p.submit("00000000000000ff").Outcome)
+	require.Equal(t, platform.Done, p.delete("00000000000000ff").Outcome)
+	leader := elect.Key(fleet.ElectionName)
+	require.Eventually(t, func() bool { _, ok := p.kv.Peek(leader); return ok }, 5*time.Second, 10*time.Millisecond)
+	for _, key := range p.kv.LeasedKeys() {
+		require.Contains(t, []string{"seat/node/e", leader}, key)
+	}
 }
 
 // Many cancellations of jobs that don't exist must not use up the store's rate: they share writes,
--- a/agent/jobapi.go
+++ b/agent/jobapi.go
@@ -61,7 +61,7 @@
 		cancelledUnknown: metrics.NewRegisteredCounter("desk.cancelled.unknown", a.registry),
 	}
 	api.cancelled = &cancelled{
-		sinceBoot: sinceBoot, pause: a.pause, commit: api.commit, grant: a.writer.Grant,
+		pause: a.pause, commit: api.commit,
 		retention: func() time.Duration { return a.currentSettings().Bounds.StatusRetention },
 	}
 	return api
--- a/fakes/kv.go
+++ b/fakes/kv.go
@@ -375,6 +375,24 @@
 	return k.call(ctx, "revoke", "", func() { k.EndLease(id) })
 }
 
+// EndLeases ends all leases and deletes their keys, as a store may do to an entry that it turns
+// away.
+func (k *KV) EndLeases() {
+	k.mu.Lock()
+	ids := slices.Sorted(maps.Keys(k.leases))
+	k.mu.Unlock()
+	for _, id := range ids {
+		k.EndLease(id)
+	}
+}
+
+// LeasedKeys returns the keys that are deleted with a lease, in order.
+func (k *KV) LeasedKeys() []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return slices.Sorted(maps.Keys(k.leaseByKey))
+}
+
 // EndLease ends a lease and deletes its keys, without counting a call or injecting a
 // fault.
 func (k *KV) EndLease(id int64) {
