--- a/owner/lapse.go
+++ b/owner/lapse.go
@@ -12,7 +12,8 @@
 // it lists when it answers again has ended later than that.
 type lapsedLease struct {
 	startedMs int64
-	since     time.Time // when it was given up, or read from the roster
+	since     time.Time // when it was given up, or later if an earlier owner did
+	atMs      int64     // the reading of the clock of the pool at which an earlier owner did, if known
 }
 
 const (
@@ -31,7 +32,7 @@
 	if h.startedMs == 0 || !h.answered && (h.formerLease || now.Before(h.lateLeases.Add(o.longestLease()))) {
 		return
 	}
-	o.lapsed[h.id] = lapsedLease{h.startedMs, now}
+	o.lapsed[h.id] = lapsedLease{startedMs: h.startedMs, since: now}
 }
 
 // forgetLapsed drops the workers that were given up long ago.
@@ -39,6 +40,7 @@
 	for id, l := range o.lapsed {
 		if now.Sub(l.since) > maxLapsedAge {
 			delete(o.lapsed, id)
+			o.markChanged(o.roster)
 		}
 	}
 }
@@ -163,7 +165,7 @@
 func (o *Owner) lapsedEntries() []rosterEntry {
 	out := make([]rosterEntry, 0, len(o.lapsed))
 	for id, l := range o.lapsed {
-		out = append(out, rosterEntry{ID: id, StartedMs: l.startedMs, Lapsed: true})
+		out = append(out, rosterEntry{ID: id, StartedMs: l.startedMs, Lapsed: true, LapsedMs: o.lapsedAt(l)})
 	}
 	slices.SortFunc(out, func(a, b rosterEntry) int {
 		if a.ID < b.ID {
