soak: restart workers under their IDs and cut them off soon after

The stand-in lets calls to a worker that went down silently wait instead of closing their connections.

--- a/fakes/site/worker.go
+++ b/fakes/site/worker.go
@@ -34,7 +34,7 @@
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
-		if !s.workers.Up(id) {
+		if !s.workers.Up(id) && !s.workers.Unreachable(id) {
 			abort()
 		}
 		serve.ServeHTTP(w, r)
--- a/soak/main.go
+++ b/soak/main.go
@@ -45,6 +45,7 @@
 	f.DurationVar(&opt.Settle, "settle", 40*time.Second, "longest `time` from the last fault until all jobs must have ended")
 	f.BoolVar(&opt.Odd, "odd", false, "also leave odd entries among those of the workers")
 	f.BoolVar(&opt.Split, "split", true, "also split pools between two groups of entries")
+	f.BoolVar(&opt.Restart, "restart", true, "also restart workers under their IDs and cut them off soon after")
 	f.StringVar(&opt.Program, "program", "", "`path` of the program; built unless given")
 	f.StringVar(&opt.Dir, "log", "", "`directory` for logs and the report; a temporary one unless given")
 	if err := f.Parse(args); err != nil {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -16,6 +16,8 @@
 	streamStore  = 3
 	streamOdd    = 4
 	streamSplit  = 5
+
+	streamRestart = 6
 )
 
 // event is a fault of a schedule.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -40,6 +40,9 @@
 	Odd bool
 	// Split splits pools between two groups of entries, beside the other faults.
 	Split bool
+	// Restart restarts workers under their IDs and cuts them off soon after, beside the other
+	// faults, and has long subtasks at work.
+	Restart bool
 	// Settle is the longest time from the last fault until all jobs must have ended.
 	Settle time.Duration
 	// plant is a fault that the soak must notice, and at which it ends then.
@@ -83,9 +86,14 @@
 	entries []*entry
 	fleet   string // address
 
-	storeFault  atomic.Pointer[func(op, key string) fakes.CallFault]
-	split       atomic.Pointer[split] // nil without one
-	senders     sync.Map              // sender by fencing token, of all that the store has seen
+	storeFault atomic.Pointer[func(op, key string) fakes.CallFault]
+	split      atomic.Pointer[split] // nil without one
+	unheard    sync.Map              // IDs of workers that don't reach the store
+	// workerFaults has the faults of calls to workers by ID, as func(op string) fakes.CallFault.
+	workerFaults sync.Map
+	// handIn hands a job in beside the usual ones, while there are faults.
+	handIn      func(*load)
+	senders     sync.Map // sender by fencing token, of all that the store has seen
 	busyWorkers atomic.Int64
 	interrupted func() bool
 	checks      *checks
@@ -141,6 +149,7 @@
 	}
 	s.kv.OnPut = s.recordSender
 	s.workers.DecideRun = s.decideRun
+	s.workers.InjectFault = s.workerFault
 	s.caller.Twist = opt.plant.answer
 	s.workers.PoolOf = site.Pools
 	s.site = site.New(s.kv, s.workers, site.Machines{Left: s.dropWorker, Back: s.returnMachine}, opt.plant.Twists)
@@ -352,7 +361,7 @@
 			cancel()
 		}
 	}
-	go every(background, site.Heartbeat, func() { s.site.Beat(func(string) bool { return true }) })
+	go every(background, site.Heartbeat, func() { s.site.Beat(s.reachesStore) })
 	if s.opt.plant.promise == "" { // a stall must not excuse what was planted
 		go s.checks.watchStalls(background)
 	}
@@ -368,6 +377,7 @@
 	defer stopTraffic()
 	life, endLife := context.WithCancel(ctx)
 	var jobs errgroup.Group
+	s.handIn = func(l *load) { s.submit(life, &jobs, l, s.opt.Seed) }
 	var planned sync.WaitGroup
 	planned.Go(func() { s.runFaults(traffic, &running) })
 	r := rand.New(rand.NewPCG(s.opt.Seed, streamLoad))
@@ -395,6 +405,9 @@
 	if s.opt.Split {
 		events = merge(events, splitSchedule(s.opt.Seed, s.opt.For))
 	}
+	if s.opt.Restart {
+		events = merge(events, restartSchedule(s.opt.Seed, s.opt.For))
+	}
 	for _, e := range events {
 		wait(ctx, time.Until(s.begun.Add(e.At)))
 		if ctx.Err() != nil {
@@ -409,6 +422,12 @@
 	}
 }
 
+// reachesStore tells whether a worker's entry reaches the store.
+func (s *Soak) reachesStore(worker string) bool {
+	_, away := s.unheard.Load(worker)
+	return !away
+}
+
 // readyLimit is how long the first start of the entries may take.
 const readyLimit = 15 * time.Second
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -90,6 +90,8 @@
 	stress(205),               // SIGTERM reached a process that did not handle it yet
 }
 
+var restartSeeds = flag.Uint64("soak.restarts", 1, "number of seeds of TestRestartsBeforeCuts")
+
 var own = flag.Bool("soak.own", false, "also run the seeds that failed for faults of the soak")
 
 // TestSeeds runs short soaks of the program.
@@ -163,6 +165,53 @@
 	require.Positive(t, r.Lost["bakers group 1"], "no owner in the other group")
 }
 
+// restarts returns the settings of runs in which workers restart under their IDs and are cut off
+// soon after, without other faults.
+func restarts(seed uint64) Options {
+	opt := short(seed, 20*time.Second)
+	opt.Workers, opt.Rate, opt.Restart, opt.plant.events = 16, 1, true, []event{}
+	return opt
+}
+
+// TestRestartsBeforeCuts plays these runs, while subtasks of 10 to 20 s are handed in.
+func TestRestartsBeforeCuts(t *testing.T) {
+	t.Parallel()
+	for seed := range *restartSeeds {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			r := runSoak(t, restarts(seed))
+			require.Empty(t, r.Violations)
+			require.Positive(t, r.Faults["worker restarted and cut"])
+		})
+	}
+}
+
+// pickRestart returns the next pick of an event that has a manner of a restart.
+func pickRestart(pick int, is func(restartPlan) bool) int {
+	for pick++; !is(drawRestart(rand.New(rand.NewPCG(uint64(pick), streamRestart)))); {
+		pick++
+	}
+	return pick
+}
+
+// TestStartAnsweredByNextIncarnationBeforeCut restarts idle workers as jobs are handed in, and cuts
+// each off with its first order.
+func TestStartAnsweredByNextIncarnationBeforeCut(t *testing.T) {
+	t.Parallel()
+	opt := restarts(1)
+	opt.Restart = false
+	pick := 0
+	for at := firstFault; at < 12*time.Second; at += 1200 * time.Millisecond {
+		pick = pickRestart(pick, func(p restartPlan) bool {
+			return p.idle && p.dark == 0 && p.down < 200*time.Millisecond && p.submit < p.down+400*time.Millisecond && p.cut < 50*time.Millisecond && !p.closed
+		})
+		opt.plant.events = append(opt.plant.events, event{Kind: "worker restarted and cut", At: at, For: 8 * time.Second, Pick: pick})
+	}
+	r := runSoak(t, opt)
+	require.Empty(t, r.Violations)
+	require.Positive(t, r.Faults["worker restarted and cut"])
+}
+
 // TestHangup checks that an entry survives SIGHUP, also while it stops.
 func TestHangup(t *testing.T) {
 	t.Parallel()
@@ -183,6 +232,10 @@
 	require.NotEmpty(t, splits)
 	require.Equal(t, splits, splitSchedule(7, time.Minute))
 	require.NotEqual(t, splits, splitSchedule(8, time.Minute))
+	cuts := restartSchedule(7, time.Minute)
+	require.NotEmpty(t, cuts)
+	require.Equal(t, cuts, restartSchedule(7, time.Minute))
+	require.NotEqual(t, cuts, restartSchedule(8, time.Minute))
 }
 
 // everyFourth tells whether a key under a prefix is one of four that are picked.
