--- a/owner/doubt.go
+++ b/owner/doubt.go
@@ -12,7 +12,7 @@
 // that may still be carried out, or have been by a later incarnation.
 func (o *Owner) storeDoubts(h *host) {
 	for _, p := range h.runs {
-		if p.origin == originMeant && !p.inFlight {
+		if p.origin == originMeant && !p.startInFlight() {
 			continue
 		}
 		until := later(p.lastSentAt().Add(maxOrderDelay), o.nextLeaseUntil(h, p))
--- a/owner/placement.go
+++ b/owner/placement.go
@@ -49,6 +49,9 @@
 // lastSentAt returns when the last start was sent, at the latest.
 func (p *placement) lastSentAt() time.Time { return later(p.startSentAt, p.sentBy) }
 
+// startInFlight reports whether a start is under way.
+func (p *placement) startInFlight() bool { return p.inFlight && p.stopTries == 0 }
+
 // mayHaveStarted reports whether another start than the one that was answered last may have
 // been carried out.
 func (p *placement) mayHaveStarted() bool { return p.tries > 1 || p.copied }
--- a/owner/unanswered.go
+++ b/owner/unanswered.go
@@ -150,7 +150,7 @@
 // still be carried out, or a later incarnation may have: that knows nothing of what this one has
 // run or refused, and has taken its longest lease.
 func (o *Owner) holdBack(h *host, p *placement) {
-	if p.origin != originMeant || p.inFlight {
+	if p.origin != originMeant || p.startInFlight() {
 		o.recordUnanswered(h, p)
 	}
 	for _, u := range o.unanswered[h.id] {
