owner: acknowledge no ends while a start may be at the next incarnation

The worker restarts at once, its next incarnation carries out a short run, and a poll that acknowledges ends of the former arrives there: the end has the same number and is dropped unread. Ends are acknowledged once the starts since the last report are proved to be of the incarnation that is known.

--- a/owner/poll.go
+++ b/owner/poll.go
@@ -66,7 +66,7 @@
 func (o *Owner) poll(h *host, now time.Time) {
 	h.polling = true
 	n := runs.Renew{Fence: o.Fence}
-	if h.failingSince.IsZero() && h.ackable > h.acked {
+	if h.failingSince.IsZero() && h.ackable > h.acked && !h.hasUnprovenStart() {
 		// Each incarnation numbers its ends from 1. A worker that does not answer may
 		// have been replaced by another incarnation, which would drop ends that no
 		// owner has read.
@@ -119,6 +119,17 @@
 	}()
 }
 
+// hasUnprovenStart reports whether a start may have been carried out by an incarnation that nobody
+// has heard of, whose ends an acknowledgement to the former one would drop.
+func (h *host) hasUnprovenStart() bool {
+	for _, p := range h.runs {
+		if p.origin != originMeant && p.startSentAt.After(h.lastReport) {
+			return true
+		}
+	}
+	return false
+}
+
 // startsLongRunning reports whether a long-running subtask on the worker is not in
 // service yet.
 func (h *host) startsLongRunning() bool {
