owner: store a start in doubt when its answer is overdue

Now it is stored after the 150 ms that the answer may take, and when a worker that is asked before a start doesn't answer.

--- a/owner/act.go
+++ b/owner/act.go
@@ -342,6 +342,7 @@
 func (o *Owner) startUnanswered(h *host, p *placement, err error, now time.Time) {
 	o.Stats.Unanswered.Inc(1)
 	o.recordUnanswered(h, p)
+	o.storeDoubts(h)
 	o.Log.Warn().Str("task", p.task.ID.String()).Int("run", p.run).Str("host", h.id).Int("tries", p.tries).
 		Err(err).Msg("start not answered")
 	if p.tries >= maxUnansweredStarts && !p.stopping {
--- a/owner/confirm.go
+++ b/owner/confirm.go
@@ -58,6 +58,7 @@
 	o.passNeeded = true
 	if m.err != nil {
 		h.unconfirmed = true
+		o.storeDoubts(h)
 		return
 	}
 	o.handleReport(pollResult(m), now)
