--- a/owner/host.go
+++ b/owner/host.go
@@ -388,6 +388,7 @@
 		o.logBelief(o.Log.Warn(), h, o.Clock.Now()).Str("task", p.task.ID.String()).Int("run", p.run).Str("host", h.id).
 			Msg("lease of a long-running run expired; it may start elsewhere")
 	}
+	o.blockUnansweredStarts(h)
 }
 
 // earlierRunsKnown reports whether every worker has answered this owner or can
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -399,7 +399,7 @@
 	o.reserveRoom(h, p)
 	o.adoptShare(h, p)
 	if j.progress.Outcome == steps.Open && t.Phase == steps.Waiting && v.Run >= t.Run {
-		t.Phase, t.WorkerID, t.Run, t.PhaseSince = steps.Running, h.id, v.Run, now
+		t.Phase, t.WorkerID, t.Run, t.PhaseSince, t.HeldUntil = steps.Running, h.id, v.Run, now, time.Time{}
 		t.Percent, t.TailOrCPU = v.Percent, v.TailOrCPU
 		if v.Run <= t.HighestVoidRun {
 			// The order reached the worker's next incarnation. This run's end counts.
