--- a/owner/confirm.go
+++ b/owner/confirm.go
@@ -61,6 +61,7 @@
 		o.storeDoubts(h)
 		return
 	}
+	h.besideAt = now
 	o.handleReport(pollResult(m), now)
 }
 
--- a/owner/host.go
+++ b/owner/host.go
@@ -54,6 +54,9 @@
 	// confirming tells that the worker is asked for a report at once, and unconfirmed that it has
 	// not answered that, and no poll since.
 	confirming, unconfirmed bool
+	// besideAt is when a report that was asked for beside a poll was last read: the two may
+	// overtake each other.
+	besideAt time.Time
 	// leasedBy is until when the last poll that extended the lease was carried out, unless late.
 	leasedBy time.Time
 	// leaseUntil is the end of the longest lease given, in milliseconds of the
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -171,6 +171,9 @@
 		o.takeIncarnation(h, m)
 		return
 	}
+	if !h.besideAt.Before(m.sent) && m.report.ClockMs < h.clock {
+		return // older than the last one that was read
+	}
 	o.refuteByPoll(h, m.sent)
 	if now.Sub(m.sent)-m.wait < minAnswerTimeout {
 		h.failedPolls = 0 // else it is slow, and the next calls may take as long
