--- a/owner/act.go
+++ b/owner/act.go
@@ -317,7 +317,9 @@
 	}
 	switch {
 	case m.err == nil, errors.Is(m.err, runs.ErrStaleRun):
-		p.observe(m.reply.ClockMs)
+		if p.origin != originNext {
+			p.observe(m.reply.ClockMs)
+		}
 		// With ErrStaleRun, the worker has had this run or a later one; the next poll
 		// tells which.
 		if p.confirmedAt.IsZero() {
