--- a/owner/doubt.go
+++ b/owner/doubt.go
@@ -15,31 +15,28 @@
 		if p.origin == originMeant && !p.startInFlight() {
 			continue
 		}
-		until := later(p.lastSentAt().Add(maxOrderDelay), o.nextLeaseUntil(h, p))
-		o.storeDoubt(p.task, steps.Doubt{Run: p.run, Worker: h.id, Address: h.worker.Address, Born: h.startedMs}, until)
+		u := unansweredStart{run: p.run, sent: p.lastSentAt(), to: h.target(), leaseUntil: o.nextLeaseUntil(h, p), born: h.startedMs}
+		o.storeDoubt(p.task, &u)
 	}
 	for _, u := range o.unanswered[h.id] {
-		o.storeDoubt(u.task, u.doubt(), u.mayRunUntil())
+		o.storeDoubt(u.task, u)
 	}
 }
 
-func (o *Owner) storeDoubt(t *steps.Task, d steps.Doubt, until time.Time) {
-	j := o.jobs[t.ID.Job]
-	left := until.Sub(o.Clock.Now())
+func (o *Owner) storeDoubt(t *steps.Task, u *unansweredStart) {
+	j, now := o.jobs[t.ID.Job], o.Clock.Now()
+	left, comes := u.mayRunUntil().Sub(now), u.mayArriveUntil().Sub(now)
 	if j == nil || j.progress.Outcome != steps.Open || t.Phase == steps.Finished || left <= 0 {
 		return
 	}
-	d.LeftMs = left.Milliseconds()
-	if t.AddDoubt(d) {
+	if t.AddDoubt(steps.Doubt{
+		Run: u.run, Worker: u.to.ID, Address: u.to.Address, Born: u.born, LeftMs: left.Milliseconds(), ComesMs: max(comes.Milliseconds(), 0),
+	}) {
 		o.markChanged(&j.doc)
 		o.writeFirst(&j.doc)
 	}
 }
 
-func (u *unansweredStart) doubt() steps.Doubt {
-	return steps.Doubt{Run: u.run, Worker: u.to.ID, Address: u.to.Address, Born: u.born}
-}
-
 // doubtNext holds subtasks back for longer as another incarnation of their worker is registered, which
 // may carry their starts out late and take its longest lease. As soon as it answers, it is made
 // to refuse them.
@@ -52,7 +49,7 @@
 		u.leaseUntil = later(u.leaseUntil, u.mayArriveUntil().Add(o.longestLease()))
 		if u.task.HeldUntil.After(now) {
 			u.task.HeldUntil = later(u.task.HeldUntil, u.leaseUntil)
-			o.storeDoubt(u.task, u.doubt(), u.leaseUntil)
+			o.storeDoubt(u.task, u)
 		}
 	}
 }
@@ -70,13 +67,13 @@
 	now := o.Clock.Now()
 	j.progress.Each(func(t *steps.Task) {
 		for _, d := range t.Doubts {
-			until := now.Add(time.Duration(d.LeftMs) * time.Millisecond)
+			until, comes := now.Add(time.Duration(d.LeftMs)*time.Millisecond), now.Add(time.Duration(d.ComesMs)*time.Millisecond)
 			t.HeldUntil = later(t.HeldUntil, until)
 			if slices.ContainsFunc(o.unanswered[d.Worker], func(u *unansweredStart) bool { return u.task == t && u.run == d.Run }) {
 				continue
 			}
 			o.unanswered[d.Worker] = append(o.unanswered[d.Worker], &unansweredStart{
-				task: t, run: d.Run, sent: until.Add(-maxOrderDelay), to: runs.Target{ID: d.Worker, Address: d.Address}, leaseUntil: until, born: d.Born,
+				task: t, run: d.Run, sent: comes.Add(-maxOrderDelay), to: runs.Target{ID: d.Worker, Address: d.Address}, leaseUntil: until, born: d.Born,
 			})
 			o.identify(o.Log.Info()).Str("task", t.ID.String()).Int("run", d.Run).Str("host", d.Worker).Dur("left", until.Sub(now)).
 				Msg("subtask held back: an earlier owner's start may be at work or be carried out")
--- a/owner/unanswered.go
+++ b/owner/unanswered.go
@@ -162,7 +162,7 @@
 			continue
 		}
 		p.task.HeldUntil = later(p.task.HeldUntil, u.mayRunUntil())
-		o.storeDoubt(u.task, u.doubt(), u.mayRunUntil())
+		o.storeDoubt(u.task, u)
 		o.Log.Info().Str("task", p.task.ID.String()).Int("run", u.run).Str("host", h.id).Dur("age", o.Clock.Since(u.sent)).
 			Msg("subtask held back: its last start may still be carried out")
 	}
--- a/steps/doubt.go
+++ b/steps/doubt.go
@@ -13,9 +13,10 @@
 	Address string `json:"at"`
 	// Born is the start of the incarnation for which the run was ordered, in Unix milliseconds.
 	Born int64 `json:"born,omitempty"`
-	// LeftMs is for how long, from the moment when it was stored, the run may be at work, in
-	// milliseconds.
-	LeftMs int64 `json:"ms"`
+	// LeftMs is for how long, from the moment when it was stored, the run may be at work, and
+	// ComesMs for how long its start may be carried out, in milliseconds.
+	LeftMs  int64 `json:"ms"`
+	ComesMs int64 `json:"comes,omitempty"`
 }
 
 // AddDoubt records a run in doubt, in place of what was known of it, and reports whether that
@@ -53,6 +54,7 @@
 	if i < 0 || time.Duration(t.Doubts[i].LeftMs)*time.Millisecond-left < step {
 		return false
 	}
-	t.Doubts[i].LeftMs = left.Milliseconds()
+	d := &t.Doubts[i]
+	d.LeftMs, d.ComesMs = left.Milliseconds(), max(d.ComesMs+left.Milliseconds()-d.LeftMs, 0)
 	return true
 }
