owner: a start that no worker has answered is no crash of its subtask

A run counts now if the worker is known to have had it: it has answered the start, or listed the run. Without an answer it counts if the connection broke over the start, or over a poll that had reached the worker or came just after its last answer, before there was time to try again: so a subtask that crashes its worker at once is still given up. Announced runs that don't count are taken back when the worker is gone. fakes.WorkerSet reports a poll that waits while its worker crashes as sent, as HTTP does.

--- a/fakes/workerset.go
+++ b/fakes/workerset.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -441,6 +442,9 @@
 			out, changed = ws.report(w), w.changed
 			return nil
 		})
+		if !first && errors.Is(err, plat.ErrUnavailable) {
+			err = fmt.Errorf("%w: the connection broke", plat.ErrUnknown) // as the call had been sent
+		}
 		if err != nil || n.WaitMs == 0 || len(out.Ended) > 0 || changed == nil {
 			return out, err
 		}
--- a/owner/act.go
+++ b/owner/act.go
@@ -340,6 +340,7 @@
 // schedules a retry, or gives up after maxUnansweredStarts tries.
 func (o *Owner) startUnanswered(h *host, p *placement, err error, now time.Time) {
 	o.Stats.Unanswered.Inc(1)
+	p.noteBreak(err)
 	o.recordUnanswered(h, p)
 	o.Log.Warn().Str("task", p.task.ID.String()).Int("run", p.run).Str("host", h.id).Int("tries", p.tries).
 		Err(err).Msg("start not answered")
--- a/owner/crash.go
+++ b/owner/crash.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"shallotpaddle/pack"
+	"shallotpaddle/plat"
 	"shallotpaddle/steps"
 )
 
@@ -45,6 +46,26 @@
 // and not by its silence.
 func connectionBroken(err error) bool { return !errors.Is(err, context.DeadlineExceeded) }
 
+// recordBreak records that a poll failed as the worker crashed. If the poll had reached it, or it had
+// answered another just before a start, it has crashed over the starts that it had no time to
+// answer. Those that were tried again had found it silent before.
+func (o *Owner) recordBreak(h *host, err error, now time.Time) {
+	for _, p := range h.runs {
+		wasUp := errors.Is(err, plat.ErrUnknown) || p.startSentAt.Sub(h.clockAt) < steps.MinProof
+		p.brokeOff = p.brokeOff || p.tries == 1 && wasUp
+	}
+	o.recordCrash(h, now)
+}
+
+// noteBreak notes that the connection of a start broke after the start was sent.
+func (p *placement) noteBreak(err error) {
+	p.brokeOff = p.brokeOff || errors.Is(err, plat.ErrUnknown) && connectionBroken(err)
+}
+
+// mayHaveCrashed reports whether the run may be the cause that its worker crashed: the worker is
+// known to have had it, or the connection to the worker broke over its start.
+func (p *placement) mayHaveCrashed() bool { return p.startClock != 0 || p.brokeOff }
+
 // recordCrash records the crash of a worker, or of one that was given up, with each
 // subtask that ran there. It is stored before anything else and before the subtask starts
 // again: the next owner can't learn what ran on a worker that is gone.
@@ -54,7 +75,7 @@
 	}
 	for _, p := range h.runs {
 		t, age := p.task, p.ageAt(h.crashedAt(now))
-		if t.Run != p.run || t.WorkerID != h.id || !t.RecordCrash(p.run, h.hostName(), p.ranFor, age) {
+		if t.Run != p.run || t.WorkerID != h.id || !p.mayHaveCrashed() || !t.RecordCrash(p.run, h.hostName(), p.ranFor, age) {
 			continue
 		}
 		t.AvoidWorker, t.RestartAt = h.id, now.Add(t.RestartDelay())
@@ -66,6 +87,16 @@
 	}
 }
 
+// retractUnsent records that the runs of a worker that is gone, and which it is not known to have
+// had, were not lost with it.
+func (o *Owner) retractUnsent(h *host) {
+	for _, p := range h.runs {
+		if !p.mayHaveCrashed() {
+			o.retractCrash(p.job, p.task, p.run)
+		}
+	}
+}
+
 // hostName returns the name of the host, or that of the worker if it names none.
 func (h *host) hostName() string {
 	if h.worker.Host == "" {
--- a/owner/host.go
+++ b/owner/host.go
@@ -270,6 +270,7 @@
 		o.noteRefused(h, o.Clock.Now())
 	}
 	o.recordCrash(h, o.Clock.Now())
+	o.retractUnsent(h)
 	o.endIncarnation(h, why)
 }
 
--- a/owner/placement.go
+++ b/owner/placement.go
@@ -27,9 +27,11 @@
 	startSentAt time.Time // when the last try was sent
 	// sentBy is until when the last try or a copy of it may be sent: a call may wait for CPU or a
 	// connection.
-	sentBy    time.Time
-	copied    bool // a start was sent in several copies
-	inFlight  bool // a start or stop is under way
+	sentBy   time.Time
+	copied   bool // a start was sent in several copies
+	inFlight bool // a start or stop is under way
+	// brokeOff tells that the connection to the worker broke over a start.
+	brokeOff  bool
 	announced bool // see steps.Task.Announce
 	// checkpoint is the one that each try to start the run carries.
 	checkpoint string
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -211,7 +211,7 @@
 		h.failingSince = now
 		o.blockUnansweredStarts(h) // it may restart before that is noticed
 		if connectionBroken(err) {
-			o.recordCrash(h, now)
+			o.recordBreak(h, err, now)
 		}
 		o.Log.Warn().Str("pool", o.Pool).Str("host", h.id).Int("runs", len(h.runs)).Err(err).Msg("worker does not answer polls")
 	}
