--- a/owner/act.go
+++ b/owner/act.go
@@ -217,7 +217,7 @@
 // advisor has given a ticket where the job needs one.
 func (o *Owner) advisedDemandOf(t *steps.Task, now time.Time) *pack.Demand {
 	demand := demandOf(t)
-	demand.MayRunOn = o.allowedWorkers(t, now)
+	demand.MayRunOn = o.restedWorkers(t, o.allowedWorkers(t, now), now)
 	return demand
 }
 
@@ -343,6 +343,7 @@
 // schedules a retry, or gives up after maxUnansweredStarts tries.
 func (o *Owner) startUnanswered(h *host, p *placement, err error, now time.Time) {
 	o.Stats.Unanswered.Inc(1)
+	p.noteBreak(err)
 	o.recordUnanswered(h, p)
 	o.storeDoubts(h)
 	o.Log.Warn().Str("task", p.task.ID.String()).Int("run", p.run).Str("host", h.id).Int("tries", p.tries).
--- a/owner/crash.go
+++ b/owner/crash.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"shallotpaddle/pack"
+	"shallotpaddle/plat"
 	"shallotpaddle/steps"
 )
 
@@ -46,6 +47,26 @@
 // and not by its silence.
 func connectionBroken(err error) bool { return !errors.Is(err, context.DeadlineExceeded) }
 
+// recordBreak records that a poll failed as the worker crashed. If the poll had reached it, or it had
+// answered another just before a start, it has crashed over the starts that it had no time to
+// answer. Those that were tried again had found it silent before.
+func (o *Owner) recordBreak(h *host, err error, now time.Time) {
+	for _, p := range h.runs {
+		wasUp := errors.Is(err, plat.ErrUnknown) || p.startSentAt.Sub(h.clockAt) < steps.MinProof
+		p.brokeOff = p.brokeOff || p.tries == 1 && wasUp
+	}
+	o.recordCrash(h, now)
+}
+
+// noteBreak notes that the connection of a start broke after the start was sent.
+func (p *placement) noteBreak(err error) {
+	p.brokeOff = p.brokeOff || errors.Is(err, plat.ErrUnknown) && connectionBroken(err)
+}
+
+// mayHaveCrashed reports whether the run may be the cause that its worker crashed: the worker is
+// known to have had it, or the connection to the worker broke over its start.
+func (p *placement) mayHaveCrashed() bool { return p.startClock != 0 || p.brokeOff }
+
 // recordCrash records the crash of a worker, or of one that was given up, with each
 // subtask that ran there. It is stored before anything else and before the subtask starts
 // again: the next owner can't learn what ran on a worker that is gone.
@@ -53,17 +74,37 @@
 	if h.worker.Draining {
 		return
 	}
+	l := o.noteLoss(h, now)
 	for _, p := range h.runs {
 		t, age := p.task, p.ageAt(h.crashedAt(now))
-		if t.Run != p.run || t.WorkerID != h.id || !t.RecordCrash(p.run, h.hostName(), p.ranFor, age) {
+		if t.Run != p.run || t.WorkerID != h.id {
+			continue
+		}
+		rest := t.RestOn(h.hostName())
+		news := p.mayHaveCrashed() && t.RecordCrash(p.run, h.hostName(), p.ranFor, age)
+		l.suspect(p)
+		if !news {
 			continue
 		}
+		if h.restedBefore(p, rest) {
+			t.RecordRest(p.run)
+		}
 		t.AvoidWorker, t.RestartAt = h.id, now.Add(t.RestartDelay())
 		o.markChanged(&p.job.doc)
 		o.writeFirst(&p.job.doc)
 		p.job.restartVersion = p.job.version
 		o.Log.Info().Str("task", t.ID.String()).Int("run", p.run).Str("host", h.id).Int("crashes", len(t.Crashes)).
-			Str("hostName", h.hostName()).Dur("age", age).Bool("suspect", t.Suspect()).Dur("delay", t.RestartDelay()).Msg("worker may have crashed under the run")
+			Str("hostName", h.hostName()).Dur("age", age).Bool("suspect", t.Suspect()).Dur("delay", t.RestartDelay()).Dur("rest", rest).Msg("worker may have crashed under the run")
+	}
+}
+
+// retractUnsent records that the runs of a worker that is gone, and which it is not known to have
+// had, were not lost with it.
+func (o *Owner) retractUnsent(h *host) {
+	for _, p := range h.runs {
+		if !p.mayHaveCrashed() {
+			o.retractCrash(p.job, p.task, p.run)
+		}
 	}
 }
 
@@ -194,6 +235,10 @@
 // startOnTrial starts a subtask that may have crashed a worker on one that gets no
 // other subtask meanwhile. The run is announced first, and starts when that is stored.
 func (o *Owner) startOnTrial(j *job, t *steps.Task, demand *pack.Demand, trials *pack.Trials, cands []pack.Worker, candHosts []*host, now time.Time) {
+	if o.awaitsCalm(t, now) {
+		delete(o.trialHosts, t)
+		return
+	}
 	run := o.nextRun(j, t)
 	if i := slices.Index(candHosts, o.trialHosts[t]); i >= 0 && cands[i].HasRoomFor(demand) {
 		if !o.mayOrder(candHosts[i], now) {
@@ -246,8 +291,13 @@
 	return kept
 }
 
-// giveUp ends a job of which a subtask crashes each worker that starts it.
+// giveUp ends a job of which a subtask crashes each worker that starts it, unless the workers turn
+// out to have crashed by themselves.
 func (o *Owner) giveUp(j *job, t *steps.Task) {
+	now := o.Clock.Now()
+	if o.judgedLater(t, now) || o.excuse(j, t) {
+		return
+	}
 	o.Stats.CrashesGivenUp.Inc(1)
 	o.Log.Warn().Str("job", j.id()).Str("task", t.ID.String()).Int("crashes", len(t.Crashes)).
 		Msg("giving up the job: its subtask crashes each worker that starts it")
--- a/owner/poll.go
+++ b/owner/poll.go
@@ -242,7 +242,7 @@
 		o.blockUnansweredStarts(h) // it may restart before that is noticed
 		o.storeDoubts(h)
 		if connectionBroken(err) {
-			o.recordCrash(h, now)
+			o.recordBreak(h, err, now)
 		}
 		o.Log.Warn().Str("pool", o.Pool).Str("host", h.id).Int("runs", len(h.runs)).Err(err).Msg("worker does not answer polls")
 	}
