owner: bound the hold of a restored doubt

A record of more than the longest time that an order and its lease can take holds a subtask back no longer than that.

--- a/owner/doubt.go
+++ b/owner/doubt.go
@@ -64,10 +64,11 @@
 // restoreDoubts holds the subtasks of a job back for which an earlier owner has stored doubts. Its
 // clock is not known, so that the time left counts from now on.
 func (o *Owner) restoreDoubts(j *job) {
-	now := o.Clock.Now()
+	now, longest := o.Clock.Now(), maxOrderDelay+o.longestLease()
+	after := func(ms int64) time.Time { return now.Add(min(time.Duration(ms)*time.Millisecond, longest)) }
 	j.progress.Each(func(t *steps.Task) {
 		for _, d := range t.Doubts {
-			until, comes := now.Add(time.Duration(d.LeftMs)*time.Millisecond), now.Add(time.Duration(d.ComesMs)*time.Millisecond)
+			until, comes := after(d.LeftMs), after(d.ComesMs)
 			t.HeldUntil = later(t.HeldUntil, until)
 			if slices.ContainsFunc(o.unanswered[d.Worker], func(u *unansweredStart) bool { return u.task == t && u.run == d.Run }) {
 				continue
--- a/owner/origin.go
+++ b/owner/origin.go
@@ -21,7 +21,7 @@
 
 // originOf returns the origin of an answer, received at now, to an order sent at sent. The clock of
 // an incarnation that began after the last report was asked for has advanced by no more than the
-// time since then.
+// time since then, if each begins at the same reading.
 func (h *host) originOf(r runs.Reply, sent, now time.Time) origin {
 	advanced := time.Duration(r.ClockMs-h.firstClock)*time.Millisecond - clockRounding
 	switch {
