--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -29,7 +29,6 @@
 // cases are the cases by name. A case returns the text of what broke the rule, empty if it held.
 var cases = map[string]func(ctx context.Context, r *rig) (string, error){
 	"pending": pending,
-	"lasting": lasting,
 }
 
 func main() {
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -55,13 +55,6 @@
 	out      *os.File
 	started  map[string]time.Time // first start of a subtask by job
 	accepted map[string]time.Time // time of the answer by job
-	// lasting tells that the jobs have a subtask that lasts, whose starts are in lastingStarts by run.
-	// dark is the worker that is lost.
-	// stepFields are more fields of the jobs' step.
-	stepFields    string
-	lasting       bool
-	lastingStarts map[int]time.Time
-	dark          string
 }
 
 // newRig serves the stand-ins; start starts the entries.
@@ -77,7 +70,7 @@
 	r := &rig{
 		dir: dir, program: program, begun: time.Now(), kv: fakes.NewKV(), workers: fakes.NewWorkerSet(site.MaxLease), out: out,
 		client:  &http.Client{Timeout: callTimeout},
-		started: map[string]time.Time{}, accepted: map[string]time.Time{}, lastingStarts: map[int]time.Time{},
+		started: map[string]time.Time{}, accepted: map[string]time.Time{},
 	}
 	r.workers.DecideRun = r.decideRun
 	r.site = site.New(r.kv, r.workers, site.Machines{Left: func(hosts.Worker) {}, Back: func(string, string) {}}, site.Twists{})
@@ -115,14 +108,7 @@
 	if _, ok := r.started[t.Job]; !ok {
 		r.started[t.Job] = time.Now()
 	}
-	if !r.lasting {
-		return workTime, runs.Done
-	}
-	r.lastingStarts[run] = time.Now()
-	if run == 1 {
-		return firstRun, runs.Failed
-	}
-	return time.Hour, runs.Done
+	return workTime, runs.Done
 }
 
 // waiting returns how many jobs had been accepted for age at a time, and have had no start so far.
@@ -149,21 +135,11 @@
 	return l.Addr().String(), nil
 }
 
-// readBody reads the body of a call, and leaves it to be read once more.
-func readBody(req *http.Request) ([]byte, error) {
-	b, err := io.ReadAll(req.Body)
-	if err != nil {
-		return nil, fmt.Errorf("rig3: %w", err)
-	}
-	req.Body = io.NopCloser(bytes.NewReader(b))
-	return b, nil
-}
-
 // addWorkers adds workers to a pool.
 func (r *rig) addWorkers(pool string, n int) error {
 	for i := range n {
 		id := fmt.Sprintf("%s-%d", pool, i)
-		address, err := r.serve(r.mayLose(id, r.site.WorkerHandler(id)))
+		address, err := r.serve(r.site.WorkerHandler(id))
 		if err != nil {
 			return err
 		}
@@ -283,8 +259,8 @@
 func (r *rig) submit(ctx context.Context, address, id string) error {
 	r.workers.AddJob(&steps.Job{
 		ID: id, Queue: "soup", Payload: "soup " + id, MaxAttempts: maxAttempts, Steps: []steps.Step{{Count: 1, CPU: workerRoom.CPU, Mem: 256, EstimateMs: workTime.Milliseconds()}},
-	}) // the stand-ins would never end a subtask that lasts; these do, when decideRun says so
-	body := fmt.Appendf(nil, `{"Spec":"soup %s","Steps":[{"Count":1,"Cpu":%d,"MemMb":256,"EstimateMs":%d%s}]}`, id, workerRoom.CPU, workTime.Milliseconds(), r.stepFields)
+	})
+	body := fmt.Appendf(nil, `{"Spec":"soup %s","Steps":[{"Count":1,"Cpu":%d,"MemMb":256,"EstimateMs":%d}]}`, id, workerRoom.CPU, workTime.Milliseconds())
 	for end := time.Now().Add(startLimit); time.Now().Before(end); pause(ctx, 200*time.Millisecond) {
 		status, _, err := r.call(ctx, http.MethodPost, address, clientPrefix+id, body)
 		r.record("POST %s%s: %d", clientPrefix, id, status)
