review: Show that one lost worker holds all jobs of a pool for 22 s

Cause: orders to a dark worker may reach its next life, so that the owner counts with a lease of over 20 s there and stores it with the roster. A successor starts none of the jobs accepted before its election until each worker of the roster has answered, or its lease is over. If that worker is lost for good meanwhile, and the owner is killed, the pool stands still.

What were review/12 and review/13 are review/13 and review/15 now, the gravest first. The stand-ins of review/rig3 use loopback addresses and ports of their own, and callers go on to the next entry.

--- a/review/13/run.sh
+++ b/review/15/run.sh
@@ -3,4 +3,4 @@
 # without the change of the queue's service.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/rig3 ] && [ -x target/shallotpaddle ] || exit 2
-exec target/rig3 pending review/13/record.txt target/shallotpaddle
+exec target/rig3 pending review/15/record.txt target/shallotpaddle
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -11,7 +11,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"runtime"
 	"syscall"
 	"time"
 )
@@ -28,14 +27,11 @@
 
 // cases are the cases by name. A case returns the text of what broke the rule, empty if it held.
 var cases = map[string]func(ctx context.Context, r *rig) (string, error){
-	"pending": pending,
+	"pending":  pending,
+	"takeover": takeover,
 }
 
-func main() {
-	// The kernel ends the entries with the thread that has started them.
-	runtime.LockOSThread()
-	os.Exit(run())
-}
+func main() { os.Exit(run()) }
 
 func run() int {
 	if len(os.Args) != 4 {
--- a/review/rig3/pending.go
+++ b/review/rig3/pending.go
@@ -32,7 +32,7 @@
 		return "", err
 	}
 	for n := range cooks + waitingJobs {
-		if err := r.submit(ctx, r.front[n%len(r.front)], fmt.Sprintf("%016x", 0xa0+n)); err != nil {
+		if err := r.submit(ctx, n, fmt.Sprintf("%016x", 0xa0+n)); err != nil {
 			return "", err
 		}
 	}
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -7,11 +7,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -40,13 +42,19 @@
 // rig is the platform, its workers and the entries.
 type rig struct {
 	dir, program string
+	ports        int    // given out
+	ip           string // loopback address, so that several rigs don't take each other's ports
 	begun        time.Time
 	kv           *fakes.KV
 	workers      *fakes.WorkerSet
 	site         *site.Site
 	store, fleet string // addresses
 	procs        []*exec.Cmd
-	front        []string // addresses of the entries
+	front, ready []string // addresses of the entries
+	metrics      []string
+	work         time.Duration           // of a subtask
+	list         map[string]hosts.Worker // by ID
+	starter      chan func()
 	servers      []*http.Server
 	stopBeats    context.CancelFunc
 	client       *http.Client
@@ -55,6 +63,7 @@
 	out      *os.File
 	started  map[string]time.Time // first start of a subtask by job
 	accepted map[string]time.Time // time of the answer by job
+	dark     map[string]bool      // workers without power
 }
 
 // newRig serves the stand-ins; start starts the entries.
@@ -68,10 +77,12 @@
 		return nil, fmt.Errorf("rig3: %w", err)
 	}
 	r := &rig{
-		dir: dir, program: program, begun: time.Now(), kv: fakes.NewKV(), workers: fakes.NewWorkerSet(site.MaxLease), out: out,
+		dir: dir, program: program, ip: fmt.Sprintf("127.%d.%d.1", 1+rand.IntN(254), rand.IntN(255)), begun: time.Now(), kv: fakes.NewKV(), workers: fakes.NewWorkerSet(site.MaxLease), out: out,
 		client:  &http.Client{Timeout: callTimeout},
-		started: map[string]time.Time{}, accepted: map[string]time.Time{},
+		started: map[string]time.Time{}, accepted: map[string]time.Time{}, dark: map[string]bool{}, list: map[string]hosts.Worker{}, work: workTime,
 	}
+	r.starter = make(chan func())
+	go r.runStarter()
 	r.workers.DecideRun = r.decideRun
 	r.site = site.New(r.kv, r.workers, site.Machines{Left: func(hosts.Worker) {}, Back: func(string, string) {}}, site.Twists{})
 	if r.store, err = r.serve(r.site.StoreHandler()); err != nil {
@@ -108,7 +119,7 @@
 	if _, ok := r.started[t.Job]; !ok {
 		r.started[t.Job] = time.Now()
 	}
-	return workTime, runs.Done
+	return r.work, runs.Done
 }
 
 // waiting returns how many jobs had been accepted for age at a time, and have had no start so far.
@@ -125,7 +136,7 @@
 }
 
 func (r *rig) serve(h http.Handler) (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", r.ip+":0")
 	if err != nil {
 		return "", fmt.Errorf("rig3: %w", err)
 	}
@@ -139,7 +150,7 @@
 func (r *rig) addWorkers(pool string, n int) error {
 	for i := range n {
 		id := fmt.Sprintf("%s-%d", pool, i)
-		address, err := r.serve(r.site.WorkerHandler(id))
+		address, err := r.serve(r.mayBeDark(id, r.site.WorkerHandler(id)))
 		if err != nil {
 			return err
 		}
@@ -148,6 +159,7 @@
 			ID: id, Pool: pool, Address: address, Centre: fmt.Sprintf("z%d", i%entries), Capacity: workerRoom,
 			Labels: []string{"plain", rack}, Rack: rack, Host: "m-" + id,
 		}
+		r.list[id] = w
 		r.workers.Join(w)
 		r.site.Enter(w)
 	}
@@ -175,52 +187,36 @@
 	return nil
 }
 
-// freeAddress returns an address that is free now.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("rig3: %w", err)
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
+// firstPort is the first port of the entries. It is below those that the system gives out.
+const firstPort = 20000
+
+// freeAddress returns an address that nothing else listens on.
+func (r *rig) freeAddress() string {
+	r.ports++
+	return fmt.Sprintf("%s:%d", r.ip, firstPort+r.ports)
 }
 
+func entryName(i int) string { return fmt.Sprintf("entry-%d", i) }
+
 // start starts the entries, and waits until they are ready.
 func (r *rig) start(ctx context.Context) error {
-	var ready []string
 	for i := range entries {
 		var a [3]string // frontend, readiness, metrics
 		for n := range a {
-			var err error
-			if a[n], err = freeAddress(); err != nil {
-				return err
-			}
+			a[n] = r.freeAddress()
 		}
-		name := fmt.Sprintf("entry-%d", i)
-		e := site.Entry{Name: name, Centre: fmt.Sprintf("z%d", i), Callers: a[0], Readiness: a[1], Store: r.store, Fleet: r.fleet}
-		file := filepath.Join(r.dir, name+".conf")
-		if err := os.WriteFile(file, []byte(r.site.Settings(&e)), 0o600); err != nil {
+		r.front, r.ready, r.metrics = append(r.front, a[0]), append(r.ready, a[1]), append(r.metrics, a[2])
+		r.procs = append(r.procs, nil)
+		e := site.Entry{Name: entryName(i), Centre: fmt.Sprintf("z%d", i), Callers: a[0], Readiness: a[1], Store: r.store, Fleet: r.fleet}
+		if err := os.WriteFile(r.settingsOf(i), []byte(r.site.Settings(&e)), 0o600); err != nil {
 			return fmt.Errorf("rig3: %w", err)
 		}
-		logs, err := os.Create(filepath.Join(r.dir, name+".log"))
-		if err != nil {
-			return fmt.Errorf("rig3: %w", err)
-		}
-		p := exec.Command(r.program, "node", "-metrics", a[2])
-		p.Env = append(os.Environ(), "SHALLOTPADDLE_SETTINGS="+file)
-		p.Stdout, p.Stderr = logs, logs
-		p.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // see main
-		err = p.Start()
-		_ = logs.Close()
-		if err != nil {
-			return fmt.Errorf("rig3: %w", err)
+		if err := r.startEntry(i); err != nil {
+			return err
 		}
-		r.procs = append(r.procs, p)
-		r.front, ready = append(r.front, a[0]), append(ready, a[1])
-		r.record("%s started", name)
 	}
 	end := time.Now().Add(readyLimit)
-	for _, a := range ready {
+	for _, a := range r.ready {
 		for {
 			if status, _, _ := r.call(ctx, http.MethodGet, a, "/-/readyz", nil); status == http.StatusOK {
 				break
@@ -235,6 +231,38 @@
 	return nil
 }
 
+func (r *rig) settingsOf(i int) string { return filepath.Join(r.dir, entryName(i)+".conf") }
+
+// startEntry starts the process of an entry. The kernel ends it with the rig.
+func (r *rig) startEntry(i int) error {
+	logs, err := os.OpenFile(filepath.Join(r.dir, entryName(i)+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return fmt.Errorf("rig3: %w", err)
+	}
+	defer logs.Close()
+	p := exec.Command(r.program, "node", "-metrics", r.metrics[i])
+	p.Env = append(os.Environ(), "SHALLOTPADDLE_SETTINGS="+r.settingsOf(i))
+	p.Stdout, p.Stderr = logs, logs
+	p.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	begun := make(chan error)
+	r.starter <- func() { begun <- p.Start() }
+	if err := <-begun; err != nil {
+		return fmt.Errorf("rig3: %w", err)
+	}
+	r.procs[i] = p
+	r.record("%s started", entryName(i))
+	return nil
+}
+
+// runStarter starts processes from one thread, which lasts as long as the rig: the kernel ends them
+// with it.
+func (r *rig) runStarter() {
+	runtime.LockOSThread()
+	for f := range r.starter {
+		f()
+	}
+}
+
 // call sends a request to an entry, and returns the status and the body of its answer.
 func (r *rig) call(ctx context.Context, method, address, path string, body []byte) (int, []byte, error) {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
@@ -255,21 +283,24 @@
 	return res.StatusCode, b, nil
 }
 
-// submit hands a job of one subtask in, until it is accepted.
-func (r *rig) submit(ctx context.Context, address, id string) error {
+// submit hands a job of one subtask in, at one entry after the other, until it is accepted.
+func (r *rig) submit(ctx context.Context, first int, id string) error {
 	r.workers.AddJob(&steps.Job{
-		ID: id, Queue: "soup", Payload: "soup " + id, MaxAttempts: maxAttempts, Steps: []steps.Step{{Count: 1, CPU: workerRoom.CPU, Mem: 256, EstimateMs: workTime.Milliseconds()}},
+		ID: id, Queue: "soup", Payload: "soup " + id, MaxAttempts: maxAttempts, Steps: []steps.Step{{Count: 1, CPU: workerRoom.CPU, Mem: 256, EstimateMs: r.work.Milliseconds()}},
 	})
-	body := fmt.Appendf(nil, `{"Spec":"soup %s","Steps":[{"Count":1,"Cpu":%d,"MemMb":256,"EstimateMs":%d}]}`, id, workerRoom.CPU, workTime.Milliseconds())
-	for end := time.Now().Add(startLimit); time.Now().Before(end); pause(ctx, 200*time.Millisecond) {
-		status, _, err := r.call(ctx, http.MethodPost, address, clientPrefix+id, body)
-		r.record("POST %s%s: %d", clientPrefix, id, status)
+	body := fmt.Appendf(nil, `{"Spec":"soup %s","Steps":[{"Count":1,"Cpu":%d,"MemMb":256,"EstimateMs":%d}]}`, id, workerRoom.CPU, r.work.Milliseconds())
+	end := time.Now().Add(startLimit)
+	for try := 0; time.Now().Before(end); try++ {
+		i := (first + try) % len(r.front)
+		status, _, err := r.call(ctx, http.MethodPost, r.front[i], clientPrefix+id, body)
+		r.record("POST %s%s at entry %d: %d", clientPrefix, id, i, status)
 		if err == nil && status/100 == 2 {
 			r.mu.Lock()
 			r.accepted[id] = time.Now()
 			r.mu.Unlock()
 			return nil
 		}
+		pause(ctx, 200*time.Millisecond)
 	}
 	return errors.New("a job isn't accepted")
 }
@@ -277,6 +308,9 @@
 // close ends everything that the rig started.
 func (r *rig) close() {
 	for _, p := range r.procs {
+		if p == nil {
+			continue
+		}
 		_ = p.Process.Signal(os.Interrupt)
 		_ = p.Process.Kill()
 		_ = p.Wait()
